Free a customer's open places when attempts outlive their request

Symptom: frota got 27% served inside its share, and the refused share grew from 11% to 50% of the tries while 68% of those refused had half of their quota unused. basico and completo, which have no cap on attempts out at once, were served well all along.

Evidence: refusals counted by the place in the module that made them. Of frota's tries at one gateway 8 in 2.5 s met the open cap at the start, 215 two windows later and 1513 in the seventh, while every other reason stayed at a handful. In the same windows the customers with no request in hand but open places held went from 2 (2 places) over 23 (63) to 58 (195). What grew with them was clients leaving with an attempt out, 4 to 5% of the tries.

Cause: send_to() adds one to the customer's `open`, and only the end of an attempt whose request is still known takes it off. forget() drops the request when its client leaves, when it is given up and when one of two copies has answered; the attempt still out then ends for a request nobody knows, and its place was never given back. The cap of frota is a handful a customer, so a few clients of little patience shut one out for good.

Mend: forget() notes the attempts still out with their customer, and each gives its place back when it ends. Until then it counts, as the protocol says. A customer with attempts out is not aged out.

Ruled out: the shortage of hosts (attempts out stayed at 2 to 9, answers at 10 to 20 ms, never pressed), warm-up pacing (no refusal by it) and the ledger of the quota (refused basico only beyond its rate).

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -125,6 +125,12 @@
     int open = 0, requests = 0;                // attempts out, requests in hand
     WarmUpLimiter limiter;
 };
+// Attempts that are out still though their request has its final answer or its client has left: until they
+// end they count against the customer's open cap, and from then on no more.
+struct LeftOut {
+    Customer* customer;
+    int out;
+};
 struct Ask {
     Customer* customer;
     int to;
@@ -622,6 +628,7 @@
             if (p->hard_rate > 0) c.hard_reserved -= q.ask.units;
         }
         --c.requests;
+        if (q.out > 0) left_out_[q.ask.id] = {&c, q.out};
         requests_.erase(q.ask.id);
     }
 
@@ -704,6 +711,10 @@
                 }
                 if (q.out == 0) again(q);
             }
+        } else if (const auto left = left_out_.find(a.id); left != left_out_.end()) {
+            Customer& c = *left->second.customer;
+            c.open = std::max(0, c.open - 1);
+            if (--left->second.out == 0) left_out_.erase(left);
         }
         pump();
     }
@@ -893,7 +904,8 @@
         std::erase_if(peers_, [this](const auto& p) { return now_ - p.second.tokens_at >= idle_after_; });
         std::erase_if(ledgers_, [this](const auto& l) { return now_ - l.second.touched >= idle_after_; });
         std::erase_if(customers_, [this](const auto& c) {
-            return now_ - c.second.last_use >= idle_after_ && c.second.requests == 0 && c.second.nonce == 0;
+            return now_ - c.second.last_use >= idle_after_ && c.second.requests == 0 && c.second.open == 0 &&
+                   c.second.nonce == 0;
         });
     }
 
@@ -910,6 +922,7 @@
     std::unordered_map<std::uint32_t, Ask> asks_;        // by nonce
     std::unordered_map<int, Peer> peers_;                // those talked with
     std::unordered_map<RequestId, Request> requests_;
+    std::unordered_map<RequestId, LeftOut> left_out_;
     std::map<std::string, Host> hosts_;
     std::deque<RequestId> waiting_;
     std::vector<Host*> order_;  // all hosts, in this gateway's own order
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -122,6 +122,25 @@
     }
 }
 
+// Found on page8618: attempts out when their client left or their request was given up held their place for
+// good, until the cap turned the customer away altogether.
+TEST(OpenCap, AnAttemptThatOutlivesItsRequestHoldsItsPlaceUntilItEnds) {
+    Settings s = one_gateway();
+    s.plans[0].max_open = 1;
+    s.second_copies = s.may_cancel = false;  // one attempt, which nothing ends but its host
+    for (const bool leaves : {true, false}) {
+        Bench b(s);
+        const auto sent = of<SendAttempt>(b.ask(1, 1, 500ms));
+        ASSERT_EQ(sent.size(), 1u);
+        if (leaves) b.feed(ClientLeft{1});
+        b.pass(1s);
+        EXPECT_EQ(of<Refuse>(b.ask(2)).size(), 1u);
+        b.end(1, sent[0].host, Outcome::timeout, 1s, 0, true);
+        b.pass(1s);
+        EXPECT_EQ(of<SendAttempt>(b.ask(3)).size(), 1u);
+    }
+}
+
 // rate 2, burst 4, one gateway: stable interval 0.5 s, warm-up 2 s, threshold 2, most 4 permits, slope 0.5 s
 // a permit. From full: the first permit costs (1.5 + 1.0) / 2 = 1.25 s.
 TEST(WarmUp, NextCallerPaysAndOverrunIsRefusedEarly) {
