Refuse a request that waits for a part once it is too late to leave

Evidence: counters at each place where the module ends a request.

Cause: on(RequestArrived) puts a request that the store can't cover in line for a part and sets no timer but the deadline's. An ask that is lost, or whose answer is slow, holds the refusal back until the client is about to give up. Requests that wait for a host have such a timer; this line had none.

Mend: the line sets the same expiry timer at the request's latest start, and one that is still unadmitted then is refused at once, with the advice that a refusal by finish() carries.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -386,6 +386,7 @@
             return deny(kept, micros(answer_s_));
         if (now_ < c.dry_until && k >= c.dry_need) return deny(kept, c.dry_until - now_);
         c.asking.push_back(r.id);
+        timer(kept.latest_start - now_, r.id, TimerKind::expiry);
         if (c.nonce == 0) obtain(c);
     }
 
@@ -886,6 +887,9 @@
         if (kind == TimerKind::deadline) finish(q);
         else if (kind == TimerKind::release) dispatch(q);
         else if (kind == TimerKind::expiry && q.waiting) q.rounds = 0, dispatch(q);
+        // A part that comes later would find it too late to leave. Guards against lost asks and slow homes
+        // that hold a refusal back until the client is about to give up.
+        else if (kind == TimerKind::expiry && !q.admitted && now_ >= q.latest_start) finish(q);
         else if (kind == TimerKind::check) check(q);
         else if (kind == TimerKind::probe && q.probing) choose(q);
         pump();
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -631,6 +631,17 @@
     EXPECT_TRUE(b.feed(ProbeEnded{"a", Outcome::timeout, 250ms, {}}).empty());
 }
 
+// Found on page5745: requests whose ask was lost stood until their client was about to give up.
+TEST(Home, ARequestThatWaitsForAPartIsRefusedOnceItIsTooLateToLeave) {
+    Settings s = one_of_two();
+    s.rank = static_cast<int>((name_hash("c") + 1) % 2);  // the other one is the home, and silent
+    s.classes[0].aim = 250ms;
+    Bench b(s);
+    EXPECT_EQ(of<SendMessage>(b.ask(1, 1, 2s, 0, 0, "c", 2)).size(), 1u);
+    EXPECT_TRUE(of<Refuse>(b.pass(240ms)).empty());
+    EXPECT_EQ(of<Refuse>(b.pass(11ms)).size(), 1u);
+}
+
 TEST(Home, ARepeatedPartCountsOnce) {
     Settings s = one_of_two();
     s.rank = static_cast<int>((name_hash("c") + 1) % 2);
