Count a peer as silent only if nothing was heard since the ask left

Evidence: units given counted by whether the giver is the customer's home. Homes counted as silent 196 times, and in 169 of these a message of theirs had come after the ask had left; of 838 overdue asks 789 were to peers heard since.

Cause: part_overdue() adds one to `lost` for each ask that is not answered in time, and at two the peer counts as silent for a second. Asks travel together, so one lost datagram, or one wait for a place in the intake, makes a live home silent at one stroke.

Mend: an overdue ask counts against a peer only if nothing was heard from it since the ask left. A dead one is still passed over after two.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -864,7 +864,10 @@
         if (it == asks_.end()) return;
         if (stalled()) return timer(answer_due, nonce, TimerKind::part);
         Peer& peer = peers_[it->second.to];
-        if (++peer.lost >= silent_after) peer.silent_until = now_ + silent_for;
+        // Who was heard since is there: the ask or its answer was lost, or waits its turn. Guards against
+        // successors that give a second time what the home gives.
+        if (peer.heard < it->second.sent && ++peer.lost >= silent_after)
+            peer.silent_until = now_ + silent_for;
         Customer& c = *it->second.customer;
         it->second.overdue = true, ++c.overdue, c.nonce = 0;
         obtain(c);
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -470,6 +470,29 @@
     EXPECT_EQ(served, 40);
 }
 
+// Found on page5745: one lost datagram with two asks made a home that was heard all along count as silent,
+// and its successor gave the quota a second time.
+TEST(Home, OneThatIsHeardIsNotReplacedForLostAsks) {
+    Settings s = one_of_two();
+    s.instances = 3;
+    const std::uint32_t at = name_hash("c") % 3;
+    s.rank = static_cast<int>((at + 1) % 3);
+    std::string other = "d";
+    while (name_hash(other) % 3 != at) other += 'd';
+    for (const bool heard : {true, false}) {
+        Bench b(s);
+        b.ask(1, 1, 2s, 0, 0, "c", 3);
+        b.ask(2, 1, 2s, 0, 0, other, 3);
+        b.pass(100ms);
+        // Word on something else: the peer is there, though neither ask came through.
+        if (heard) b.feed(MessageArrived{static_cast<int>(at), pack({PartGiven{0, 0, 0, 0, 1}})});
+        b.pass(100ms);
+        int elsewhere = 0;
+        for (const SendMessage& m : of<SendMessage>(b.actions)) elsewhere += m.to != static_cast<int>(at);
+        EXPECT_EQ(elsewhere > 0, !heard);
+    }
+}
+
 // A gateway that stood still finds its answer behind its own overdue timer: it must not blame the home.
 TEST(Home, AnOwnStallDoesNotMakeItSilent) {
     Settings s = one_of_two();
