Hold a plan's open cap for every first attempt, not only for those that ask

Cause: on(RequestArrived) looks at the cap behind the test whether the store covers the request, so it binds only for requests that have to ask; and what is let in but has not left yet does not count. Those that it did turn away were refused at once though a place comes free within an answer's time.

Mend: enter() asks for a place first, for requests that come and for those whose part has come. A place is taken from the moment a request is let in. What finds none is held, oldest first, while its turn is expected before its latest start, and leaves with the end of an attempt; else it is refused at once with that wait as advice.

Ruled out: successors (31 of 5000 units) and the even slice (30 requests).

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -123,7 +123,9 @@
     int tries = 0;                             // asks for the first in line
     int overdue = 0;                           // asks that count as lost and are still known
     std::vector<RequestId> asking;             // requests that wait for a part; a deque costs 600 bytes empty
+    std::vector<RequestId> held;               // requests that wait for a place under the open cap
     int open = 0, requests = 0;                // attempts out, requests in hand
+    int leaving = 0;                           // requests let in that have not been sent yet
     WarmUpLimiter limiter;
 };
 // Attempts that are out still though their request has its final answer or its client has left: until they
@@ -333,7 +335,7 @@
             if (it == requests_.end()) continue;
             const double k = it->second.ask.units;
             if (lack(c, k) > 0 || hard_lack(c, k) > 0) c.asking.push_back(id);
-            else admit(it->second), any = true;
+            else enter(it->second), any = true;
         }
         return any;
     }
@@ -385,17 +387,46 @@
         ++c.requests;
         Request& kept = requests_.emplace(r.id, std::move(q)).first->second;
         timer(r.time_left - 2 * s_.tick, r.id, TimerKind::deadline);
-        const Plan* p = plan_of(c);
-        if (!p || (lack(c, k) <= 0 && hard_lack(c, k) <= 0)) return admit(kept);
-        const double open = p->max_open * share(c);
-        if (p->max_open > 0 && c.open >= std::max(1.0, std::round(open)))
-            return deny(kept, micros(answer_s_));
-        if (now_ < c.dry_until && k >= c.dry_need) return deny(kept, c.dry_until - now_);
-        c.asking.push_back(r.id);
-        timer(kept.latest_start - now_, r.id, TimerKind::expiry);
+        enter(kept);
+    }
+
+    // Lets a request in if there is a place for it and the stores cover it, or has it wait for what it lacks.
+    void enter(Request& q) {
+        Customer& c = *q.customer;
+        const double k = q.ask.units;
+        if (!has_place(c)) return hold(q);
+        if (!plan_of(c) || (lack(c, k) <= 0 && hard_lack(c, k) <= 0)) return admit(q);
+        if (now_ < c.dry_until && k >= c.dry_need) return deny(q, c.dry_until - now_);
+        c.asking.push_back(q.ask.id);
+        timer(q.latest_start - now_, q.ask.id, TimerKind::expiry);
         if (c.nonce == 0) obtain(c);
     }
 
+    // This gateway's part of the open cap. What is let in and not sent yet will count as well.
+    double places(const Customer& c) const {
+        return std::max(1.0, std::round(plan_of(c)->max_open * share(c)));
+    }
+    bool has_place(const Customer& c) const {
+        const Plan* p = plan_of(c);
+        return !p || p->max_open <= 0 || c.open + c.leaving < places(c);
+    }
+    // Beyond the open cap: held until an attempt ends, or refused at once where its turn would come too late.
+    void hold(Request& q) {
+        Customer& c = *q.customer;
+        std::erase_if(c.held, [this](RequestId id) { return !requests_.count(id); });
+        const Micros wait = micros(answer_s_ * (1 + static_cast<double>(c.held.size())) / places(c));
+        if (now_ + wait > q.latest_start) return deny(q, wait);
+        c.held.push_back(q.ask.id);
+        timer(q.latest_start - now_, q.ask.id, TimerKind::expiry);
+    }
+    void fill_places(Customer& c) {
+        while (!c.held.empty() && has_place(c)) {
+            const RequestId id = c.held.front();
+            c.held.erase(c.held.begin());
+            if (const auto it = requests_.find(id); it != requests_.end()) enter(it->second);
+        }
+    }
+
     // The stores cover it. While the back end looks pressed the split slice with warm-up cost binds as well.
     void admit(Request& q) {
         Customer& c = *q.customer;
@@ -410,6 +441,7 @@
             c.limiter.reserve(k, stable_s, warmup_s);
         }
         q.admitted = true;
+        ++c.leaving;
         if (p && p->rate > 0 && q.in_quota) c.level -= k;
         if (p && p->hard_rate > 0) c.hard_reserved += k;
         if (wait <= 0us) return dispatch(q);
@@ -576,7 +608,7 @@
             touch(c);
             c.hard_level -= q.ask.units, c.hard_reserved -= q.ask.units;
         }
-        if (!q.sent) retry_earned_.add(1, now_, long_memory_s);
+        if (!q.sent) retry_earned_.add(1, now_, long_memory_s), --c.leaving;
         q.sent = true;
         q.waiting = q.probing = false, q.rounds = 0;
         ++q.attempts, ++q.out, ++c.open;
@@ -634,9 +666,12 @@
             if (q.in_quota && p->rate > 0) c.level += q.ask.units;
             if (p->hard_rate > 0) c.hard_reserved -= q.ask.units;
         }
+        const bool frees = q.admitted && !q.sent;
+        if (frees) --c.leaving;
         --c.requests;
         if (q.out > 0) left_out_[q.ask.id] = {&c, q.out};
         requests_.erase(q.ask.id);
+        if (frees) fill_places(c);
     }
 
     // ---- outcomes and health ----------------------------------------------------------------------------
@@ -689,6 +724,7 @@
     void on(const AttemptEnded& a) {
         const auto host = hosts_.find(a.host);
         const auto found = requests_.find(a.id);
+        Customer* customer = nullptr;
         if (host != hosts_.end()) {
             if (host->second.out > 0) --host->second.out, --out_;
             work_out_.add(seconds(a.took), now_, warm_memory_s);
@@ -702,8 +738,9 @@
         }
         if (found != requests_.end()) {
             Request& q = found->second;
+            customer = q.customer;
             q.out = std::max(0, q.out - 1);
-            q.customer->open = std::max(0, q.customer->open - 1);
+            customer->open = std::max(0, customer->open - 1);
             if (a.true_units > 0 && s_.units_settled_later && q.in_quota)
                 q.customer->level += q.ask.units - a.true_units;
             const bool never_ran = a.outcome == Outcome::full || a.outcome == Outcome::connect_failed ||
@@ -719,10 +756,11 @@
                 if (q.out == 0) again(q);
             }
         } else if (const auto left = left_out_.find(a.id); left != left_out_.end()) {
-            Customer& c = *left->second.customer;
-            c.open = std::max(0, c.open - 1);
+            customer = left->second.customer;
+            customer->open = std::max(0, customer->open - 1);
             if (--left->second.out == 0) left_out_.erase(left);
         }
+        if (customer) fill_places(*customer);
         pump();
     }
     double aim_s() const { return s_.classes.empty() ? 1 : seconds(s_.classes.front().aim); }
