Let messages that no request waits for travel with those that one does

Evidence: 2732 messages left in 22.5 s, which is the 32 a second that the intakes allow each gateway, with 1.8 asks or parts in each. An outbox that is never empty lets a message go every 94 ms to each of three peers, and an ask and its answer wait for one each.

Cause: post() sends each message at once while there are tokens, so asks made ahead, and the parts given for them, use up the tokens that an ask in need then lacks.

Mend: what no request waits for is put into the outbox and goes along with the next message that one does wait for, or by itself after the time in which it takes a quarter of the tokens. A request does not wait for an ask made ahead but asks for itself, and the line moves with whichever part comes first. Asks ahead are due that much later.

Ruled out: larger bundles for all, which would make those in need wait as well.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -25,6 +25,7 @@
 constexpr int homes = 3, asks_most = 4;  // a customer's home and successors; asks for one request
 constexpr Micros answer_due = 150ms;     // an ask unanswered by then counts as lost
 constexpr double mail_share = 0.8, mail_at_once = 3;  // of an intake, by those who talk; messages
+constexpr double no_hurry_share = 0.25;               // of that, by messages that no request waits for
 constexpr std::size_t outbox_most = 200;              // messages kept for one peer; more are dropped
 constexpr int silent_after = 2;                       // asks lost in a row that make a peer count as silent
 constexpr Micros silent_for = 1s;                     // it is then passed over this long
@@ -122,6 +123,7 @@
     double dry_need = 0;              // for asks of this size
     double hard_level = 0, hard_reserved = 0;  // this gateway's own part of the ceiling
     std::uint32_t nonce = 0;                   // of the ask that is out; 0: none
+    bool ahead = false;                        // an ask for what is likely to come is out
     int tries = 0;                             // asks for the first in line
     int overdue = 0;                           // asks that count as lost and are still known
     std::vector<RequestId> asking;             // requests that wait for a part; a deque costs 600 bytes empty
@@ -144,8 +146,8 @@
     bool overdue = false;  // counts as lost; its part may come all the same
 };
 struct Peer {
-    int lost = 0;           // asks in a row
-    bool flushing = false;  // a timer is set
+    int lost = 0;        // asks in a row
+    Micros flush_at{0};  // what stands in the outbox goes then
     double tokens = mail_at_once;
     Micros tokens_at{0}, silent_until{0}, heard{0};
     std::vector<PeerMessage> outbox;
@@ -300,18 +302,20 @@
             if (to == s_.rank) return receive(c, give(ask));
             if (!s_.may_message || now_ < peers_[to].silent_until) continue;
             ++c.tries;
-            return send_ask(c, to, ask, false);
+            c.nonce = send_ask(c, to, ask, false);
+            return;
         }
         c.tries = 0;
         for (const RequestId id : std::exchange(c.asking, {}))
             if (const auto it = requests_.find(id); it != requests_.end()) from_even_slice(it->second);
     }
 
-    void send_ask(Customer& c, int to, PartAsk ask, bool ahead) {
-        c.nonce = ask.nonce = std::exchange(next_nonce_, next_nonce_ + 2);
-        asks_[c.nonce] = {&c, to, now_, ahead};
-        post(to, ask);
-        timer(answer_due, ask.nonce, TimerKind::part);
+    std::uint32_t send_ask(Customer& c, int to, PartAsk ask, bool ahead) {
+        ask.nonce = std::exchange(next_nonce_, next_nonce_ + 2);
+        asks_[ask.nonce] = {&c, to, now_, ahead};
+        post(to, ask, !ahead);
+        timer(answer_due + (ahead ? 2 * no_hurry() : 0us), ask.nonce, TimerKind::part);
+        return ask.nonce;
     }
 
     // Asks ahead once the store would not cover the next request like the last one, or the demand until an
@@ -319,11 +323,12 @@
     // here while others could use it, a request's units or so.
     void ask_ahead(Customer& c, double k) {
         const Plan* p = plan_of(c);
-        if (!p || p->rate <= 0 || c.nonce != 0 || !c.asking.empty() || now_ < c.dry_until) return;
+        if (!p || p->rate <= 0 || c.ahead || now_ < c.dry_until) return;
         const double soon = std::max(k, c.own.value(now_, use_memory_s) / use_memory_s * part_ahead_s);
         const int to = home(c.hash, c.set_start, c.set_size, 0);
         if (c.level >= soon || to == s_.rank || !s_.may_message || now_ < peers_[to].silent_until) return;
         PartAsk ask{0, c.hash, c.plan, c.set_size, c.set_start, 0, parts_ahead * soon, hard_lack(c, k)};
+        c.ahead = true;
         send_ask(c, to, ask, true);
     }
 
@@ -367,10 +372,10 @@
         }
         return any;
     }
-    // A part came, or word that there is none; asked ahead that says nothing of what the line lacks now.
-    void receive(Customer& c, const PartGiven& given, bool ahead = false) {
+    // A part came, or word that there is none.
+    void receive(Customer& c, const PartGiven& given) {
         c.tries = 0;
-        if (take_in(c, given) || c.asking.empty() || ahead) return obtain(c);
+        if (take_in(c, given) || c.asking.empty()) return obtain(c);
         const Micros wait = std::max(answer_due, Micros(given.wait_ms * 1000));
         c.dry_until = now_ + wait;
         for (const RequestId id : std::exchange(c.asking, {}))
@@ -887,20 +892,26 @@
             if (!ask) take_part(m.from, std::get<PartGiven>(message));
             else if (ask->plan < static_cast<int>(s_.plans.size()) && ask->set_size >= 1 &&
                      ask->set_size <= s_.instances)
-                post(m.from, give(*ask));
+                post(m.from, give(*ask), ask->need > 0 || ask->hard > 0);
         }
     }
 
     // Messages to a peer go out at once while they are few; what comes faster than its intake allows, shared
     // by those that talk now, is bundled. Guards against asks lost in a full intake; harms by the wait.
-    void post(int to, const PeerMessage& message) {
+    void post(int to, const PeerMessage& message, bool urgent) {
         Peer& peer = peers_[to];
         if (peer.outbox.size() < outbox_most) peer.outbox.push_back(message);
-        flush(to, peer);
+        if (urgent) flush(to, peer);
+        else flush_in(to, peer, no_hurry());
     }
-    void flush(int to, Peer& peer) {
+    double mail_rate() const {
         const double talkers = std::clamp(std::max(heard_, heard_before_), 1, s_.instances);
-        const double rate = std::max(1.0, s_.messages_per_s * mail_share / talkers);
+        return std::max(1.0, s_.messages_per_s * mail_share / talkers);
+    }
+    // How long what no request waits for may lie, to go along with what one does.
+    Micros no_hurry() const { return micros(1 / (mail_rate() * no_hurry_share)); }
+    void flush(int to, Peer& peer) {
+        const double rate = mail_rate();
         peer.tokens = std::min(mail_at_once, peer.tokens + rate * seconds(now_ - peer.tokens_at));
         peer.tokens_at = now_;
         while (!peer.outbox.empty() && peer.tokens >= 1) {
@@ -909,8 +920,12 @@
             const auto sent = static_cast<std::ptrdiff_t>(std::min(peer.outbox.size(), most_together));
             peer.outbox.erase(peer.outbox.begin(), peer.outbox.begin() + sent);
         }
-        if (!peer.outbox.empty() && !std::exchange(peer.flushing, true))
-            timer(micros((1 - peer.tokens) / rate), static_cast<RequestId>(to), TimerKind::flush);
+        if (!peer.outbox.empty()) flush_in(to, peer, micros((1 - peer.tokens) / rate));
+    }
+    void flush_in(int to, Peer& peer, Micros wait) {
+        if (peer.flush_at > now_ && peer.flush_at <= now_ + wait) return;
+        peer.flush_at = now_ + wait;
+        timer(wait, static_cast<RequestId>(to), TimerKind::flush);
     }
 
     void take_part(int from, PartGiven given) {
@@ -919,7 +934,7 @@
         if (now_ - it->second.sent > 2 * answer_due) given.hard = 0;  // the giver's part may have refilled
         const bool overdue = it->second.overdue, ahead = it->second.ahead;
         Customer& c = close(it);
-        if (!overdue) receive(c, given, ahead);
+        if (!overdue && !ahead) receive(c, given);
         // Its units are off the home's ledger, so that nobody else has them. Word that there is none is out
         // of date by now: a later ask has the say.
         else if (given.units > 0 || given.hard > 0) take_in(c, given);
@@ -936,12 +951,14 @@
         if (peer.heard < it->second.sent && ++peer.lost >= silent_after)
             peer.silent_until = now_ + silent_for;
         Customer& c = *it->second.customer;
-        it->second.overdue = true, ++c.overdue, c.nonce = 0;
-        obtain(c);
+        it->second.overdue = true, ++c.overdue;
+        if (it->second.ahead) c.ahead = false;
+        else c.nonce = 0, obtain(c);
     }
     Customer& close(std::unordered_map<std::uint32_t, Ask>::iterator ask) {
         Customer& c = *ask->second.customer;
         if (ask->second.overdue) --c.overdue;
+        else if (ask->second.ahead) c.ahead = false;
         else c.nonce = 0;
         asks_.erase(ask);
         return c;
@@ -960,7 +977,7 @@
         if (kind == TimerKind::part) return part_overdue(static_cast<std::uint32_t>(about));
         if (kind == TimerKind::flush) {
             const auto peer = peers_.find(static_cast<int>(about));
-            if (peer != peers_.end()) peer->second.flushing = false, flush(peer->first, peer->second);
+            if (peer != peers_.end() && now_ >= peer->second.flush_at) flush(peer->first, peer->second);
             return;
         }
         if (kind == TimerKind::beat && about == 0) return beat();
@@ -996,7 +1013,7 @@
         }
         std::erase_if(customers_, [this](const auto& c) {
             return now_ - c.second.last_use >= idle_after_ && c.second.requests == 0 && c.second.open == 0 &&
-                   c.second.nonce == 0 && c.second.overdue == 0;
+                   c.second.nonce == 0 && !c.second.ahead && c.second.overdue == 0;
         });
     }
 
