Let operators take hosts out, empty the gateway and put it back

Need: the operators' calls, all of which went unanswered, and the drain.

As designed: MgmtDoor, the event HostBanned, standby in ClientServer. A host put back counts as started then, until the list names a later start.

--- a/include/silverreach/interface.h
+++ b/include/silverreach/interface.h
@@ -100,6 +100,11 @@
     bool whole_list = false;  // false: only the entries that changed
     std::vector<HostEntry> entries;
 };
+// Operators take a host out, or put it back. Apart from the list's states: no list lifts a ban.
+struct HostBanned {
+    std::string host;
+    bool banned = true;
+};
 struct RequestArrived {
     RequestId id = 0;
     std::string customer;
@@ -137,8 +142,8 @@
     std::uint64_t token = 0;
 };
 
-using Event = std::variant<HostsChanged, RequestArrived, AttemptEnded, ProbeEnded, ClientLeft, MessageArrived,
-                           TimerFired>;
+using Event = std::variant<HostsChanged, HostBanned, RequestArrived, AttemptEnded, ProbeEnded, ClientLeft,
+                           MessageArrived, TimerFired>;
 
 // ---- actions --------------------------------------------------------------------------------------------
 
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -4,6 +4,7 @@
 #include <deque>
 #include <map>
 #include <random>
+#include <set>
 #include <stdexcept>
 #include <unordered_map>
 #include <utility>
@@ -155,6 +156,8 @@
 
 struct Host {
     HostEntry entry;
+    bool banned = false;  // by operators, whatever the list says
+    bool usable() const { return entry.state == HostState::up && !banned; }
     int out = 0;              // own attempts out
     std::uint32_t place = 0;  // in this gateway's order
     double out_limit = limit_start;
@@ -163,6 +166,7 @@
     Fading answers;       // seen here lately
     double answer_s = 0;  // mean answer time; 0: none seen
     int failures = 0, ejections = 0;
+    Micros told_start{0};                   // by the list; the entry's may be later, for a host put back
     Micros looked_at{0}, reported_at{0};    // when last considered while cold, when it told of itself
     double reported = -1;                   // requests it holds by its own word
     bool idle = false, tells_held = false;  // by its own word: nothing queues there, what it holds
@@ -546,7 +550,7 @@
         for (std::size_t i = 0; i < order_.size() && seen < sampled; ++i) {
             if (i < kept) std::swap(order_[i], order_[i + random_() % (std::min(kept, order_.size()) - i)]);
             Host& h = *order_[i];
-            if (h.entry.state != HostState::up || now_ < h.blocked_until || !in_group(q, h)) continue;
+            if (!h.usable() || now_ < h.blocked_until || !in_group(q, h)) continue;
             if (known(h) && held(h) >= limit(h)) continue;
             ++seen;
             const bool cold = capacity_share(h) < 1 && warm_ > 0;
@@ -596,7 +600,7 @@
     // By a fresh word of its own a host has room while nothing queues there, whatever the limits learned.
     bool takes(const Host& h) const {
         const bool fresh = h.reported_at > 0us && now_ - h.reported_at < report_valid;
-        return h.entry.state == HostState::up && now_ >= h.blocked_until && (fresh || known(h)) &&
+        return h.usable() && now_ >= h.blocked_until && (fresh || known(h)) &&
                ((fresh && h.idle && !h.tells_held) || held(h) < limit(h));
     }
 
@@ -742,9 +746,9 @@
             pressed_ = slow_share_ > (pressed_ ? relieved_below : pressed_above);
         }
         if (a.outcome == Outcome::error || silent) fail(h, 1);
-        // One broken connection tells of that connection only: a kept one may end under a request. A dead host
-        // breaks all it holds, which adds up at once, and takes no new one. Guards against single resets putting
-        // every host out; harms by a request or two that find out.
+        // One broken connection tells of that connection only: a kept one may end under a request. A dead
+        // host breaks all it holds, which adds up at once, and takes no new one. Guards against single resets
+        // putting every host out; harms by a request or two that find out.
         if (a.outcome == Outcome::reset) fail(h, 1);
         if (a.outcome == Outcome::connect_failed) fail(h, eject_after);
     }
@@ -848,16 +852,42 @@
         for (const HostEntry& entry : e.entries) {
             auto [it, fresh] = hosts_.try_emplace(entry.host);
             Host& h = it->second;
-            if (fresh || entry.started != h.entry.started) {
-                h.out = std::exchange(h, Host{}).out;
-                h.looked_at = h.last_answer = now_;
-                h.place = name_hash(entry.host + ' ' + std::to_string(s_.rank));
-            }
-            h.entry = entry;
+            if (fresh || entry.started != h.told_start) start_anew(h, entry.host);
+            // A host put back may have been restarted unheard of: until the list names a later start, that
+            // counts.
+            const auto back = put_back_.find(entry.host);
+            h.entry = entry, h.told_start = entry.started;
+            if (back != put_back_.end()) h.entry.started = std::max(entry.started, back->second);
         }
         drop_gone();
         pump();
     }
+    void start_anew(Host& h, const std::string& name) {
+        h.out = std::exchange(h, Host{}).out;
+        h.looked_at = h.last_answer = now_;
+        h.place = name_hash(name + ' ' + std::to_string(s_.rank));
+        h.banned = banned_.count(name) > 0;
+    }
+    // A ban holds until operators lift it. The host comes back as one that starts now: they restart it
+    // meanwhile, and the list tells so late or never. Harms by a cold time for one that was not restarted.
+    void on(const HostBanned& e) {
+        if (e.banned ? !banned_.insert(e.host).second : banned_.erase(e.host) == 0) return;
+        if (!e.banned && s_.cold_time > 0us) put_back_[e.host] = now_;
+        std::erase_if(put_back_, [this](const auto& b) { return now_ - b.second > s_.cold_time; });
+        if (const auto it = hosts_.find(e.host); it != hosts_.end()) {
+            Host& h = it->second;
+            if (e.banned) h.banned = true;
+            else {
+                const HostEntry entry = h.entry;
+                const Micros told = h.told_start;
+                start_anew(h, e.host);
+                h.entry = entry, h.told_start = told;
+                h.entry.started = std::max(now_, entry.started);
+            }
+        }
+        list_hosts();
+        pump();
+    }
     void drop_gone() {
         std::erase_if(hosts_, [](const auto& h) {
             return h.second.entry.state == HostState::gone && h.second.out == 0;
@@ -870,7 +900,7 @@
         warm_ = 0;
         for (auto& [name, h] : hosts_) {
             order_.push_back(&h);
-            warm_ += h.entry.state == HostState::up && capacity_share(h) >= 1;
+            warm_ += h.usable() && capacity_share(h) >= 1;
         }
         const auto before = [](const Host* a, const Host* b) { return a->place < b->place; };
         std::stable_sort(order_.begin(), order_.end(), before);
@@ -1032,6 +1062,8 @@
     std::unordered_map<RequestId, Request> requests_;
     std::unordered_map<RequestId, LeftOut> left_out_;
     std::map<std::string, Host> hosts_;
+    std::set<std::string> banned_;            // hosts that operators have taken out
+    std::map<std::string, Micros> put_back_;  // and put back within the last cold time
     std::deque<RequestId> waiting_;
     std::vector<Host*> order_;  // all hosts, in this gateway's own order
     std::size_t warm_ = 0;
--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -60,6 +60,8 @@
         error_code ec;
         return between_requests() && unread_.size() == 0 && socket_.available(ec) == 0;
     }
+    // The same, and it has had an answer: whoever has just connected may be about to ask.
+    bool kept() const { return !first_ && !paused_ && idle(); }
     // Nothing whole of it is in hand or being answered, and nothing that the kernel holds could be that.
     bool gives_nothing(std::chrono::steady_clock::time_point since) const {
         error_code ec;
@@ -79,7 +81,7 @@
 
     void answer(Answer&& answer) {
         request_ = 0;
-        const bool keep = keep_alive_ && !server_.draining_;
+        const bool keep = keep_alive_ && !server_.leaving();
         close_after_ = !keep;
         strip_connection_fields(answer.base());
         answer.version(version_);
@@ -237,7 +239,7 @@
         if (chunked) message.content_length(message.body().size());  // the pieces were this connection's own
         first_ = false;
         if (message.target() == "/_health") {
-            const bool well = !server_.draining_ && server_.callbacks_.ready();
+            const bool well = !server_.leaving() && server_.callbacks_.ready();
             return answer(make_answer(well ? http::status::ok : http::status::service_unavailable));
         }
         // One that only asks for health is no client yet, and goes before those that are.
@@ -433,8 +435,19 @@
 
 void ClientServer::drain() {
     draining_ = true;
-    while (close_one_idle()) {
-    }
+    close_idle();
+}
+void ClientServer::stand_by(bool on) {
+    standby_ = on;
+    if (on) close_idle();
+}
+// Those that have asked only for health as well: nobody who is kept would leave by itself.
+void ClientServer::close_idle() {
+    for (Connections* list : {&newcomers_, &known_})
+        for (auto it = list->begin(); it != list->end();) {
+            const auto connection = *it++;
+            if (connection->kept()) connection->close();
+        }
 }
 bool ClientServer::take_rest() {
     bool any = false;
@@ -457,6 +470,7 @@
 void ClientServer::sweep() {
     sweep(newcomers_);
     sweep(known_);
+    if (leaving()) close_idle();  // who paused over the beginning
     sweep_timer_.expires_after(sweep_period);
     sweep_timer_.async_wait([this](error_code stopped) {
         if (!stopped) sweep();
--- a/src/node/client_server.h
+++ b/src/node/client_server.h
@@ -46,6 +46,9 @@
     void reject(std::uint64_t id, Answer&& answer);
     // From now on /_health fails and answers end their connections; idle connections are closed.
     void drain();
+    // Standby: the same for as long as it is on.
+    void stand_by(bool on);
+    bool standing_by() const { return standby_; }
     // Takes in what the machine has accepted already: requests in there count as taken. False if that was
     // nothing.
     bool take_rest();
@@ -58,6 +61,8 @@
     using Connections = std::list<std::shared_ptr<Connection>>;
 
     void accept();
+    bool leaving() const { return draining_ || standby_; }
+    void close_idle();
     bool take_one(boost::system::error_code& ec);
     std::shared_ptr<Connection> take_from_hand(std::uint64_t id);
     bool close_one_newcomer(std::chrono::steady_clock::duration silent_for);
@@ -77,7 +82,7 @@
     Connections newcomers_, known_;
     std::unordered_map<std::uint64_t, Connection*> in_hand_;  // by request
     std::uint64_t next_id_ = 1;
-    bool accepting_ = false, starved_ = false, draining_ = false;
+    bool accepting_ = false, starved_ = false, draining_ = false, standby_ = false;
 };
 
 }  // namespace spartrack
--- a/src/node/config.cpp
+++ b/src/node/config.cpp
@@ -38,6 +38,10 @@
     c.listen = read_endpoint<tcp::endpoint>(text_or(o, "listen", environment, "BALANCER_LISTEN"), "listen");
     c.discovery =
         read_endpoint<tcp::endpoint>(text_or(o, "discovery", environment, "BALANCER_DISCOVERY"), "discovery");
+    if (auto door = json::optional_key(o, "mgmt"))
+        c.mgmt = read_endpoint<tcp::endpoint>(json::as_text(*door, "mgmt"), "mgmt");
+    else if (const char* const address = environment("BALANCER_MGMT"))
+        c.mgmt = read_endpoint<tcp::endpoint>(address, "mgmt");
     if (auto seed = json::optional_key(o, "seed")) c.seed = read_seed(*seed);
     if (auto limits = json::optional_key(o, "limits")) {
         const json::object bounds = json::as_object(*limits, "limits");
--- a/src/node/host_pool.cpp
+++ b/src/node/host_pool.cpp
@@ -24,7 +24,8 @@
 struct HostPool::Host {
     std::string uid;
     tcp::endpoint endpoint;
-    bool takes_new = true;
+    bool listed_ready = true, banned = false;
+    bool takes_new() const { return listed_ready && !banned; }
     std::vector<std::shared_ptr<Connection>> idle;  // the one used last at the end
 };
 
@@ -200,7 +201,7 @@
                          : never_ran   ? HostOutcome::full
                                        : HostOutcome::error;
         const bool again = state_ == State::waiting && answer.keep_alive() && unread_.size() == 0 &&
-                           silent() && host_->takes_new && host_->endpoint == endpoint_;
+                           silent() && host_->takes_new() && host_->endpoint == endpoint_;
         report(std::move(result), again);
     }
     void end(HostOutcome outcome) {
@@ -278,26 +279,38 @@
         auto& host = hosts_[t.uid];
         if (!host) host = std::make_shared<Host>();
         host->uid = t.uid;
-        host->takes_new = t.state == TargetState::ready;
+        host->listed_ready = t.state == TargetState::ready;
+        host->banned = banned_.count(t.uid) > 0;
         if (t.state != TargetState::gone) host->endpoint = t.endpoint;
     }
     if (list.whole)
         for (const auto& [uid, host] : hosts_)
-            if (named.count(uid) == 0) host->takes_new = false;
-    // Guards against a send to a host after word that it drains: a connect under way would write its request
-    // whenever it comes up.
+            if (named.count(uid) == 0) host->listed_ready = false;
+    cut_unsent();
+    std::erase_if(hosts_, [](const auto& host) { return !host.second->listed_ready; });
+}
+
+void HostPool::ban(const std::string& uid, bool banned) {
+    if (banned) banned_.insert(uid);
+    else banned_.erase(uid);
+    const auto found = hosts_.find(uid);
+    if (found == hosts_.end()) return;
+    found->second->banned = banned;
+    if (banned) cut_unsent();
+}
+
+// Guards against a send to a host after word that it drains: a connect under way would write its request
+// whenever it comes up.
+void HostPool::cut_unsent() {
     std::vector<std::shared_ptr<Connection>> unsent;
     for (const auto& connection : busy_)
-        if (connection->unwritten() && !connection->host()->takes_new) unsent.push_back(connection);
-    for (auto it = hosts_.begin(); it != hosts_.end();) {
-        Host& host = *it->second;
-        std::erase_if(host.idle, [&](const auto& connection) {
-            const bool stays = host.takes_new && connection->endpoint() == host.endpoint;
+        if (connection->unwritten() && !connection->host()->takes_new()) unsent.push_back(connection);
+    for (const auto& [uid, host] : hosts_)
+        std::erase_if(host->idle, [&host = *host](const auto& connection) {
+            const bool stays = host.takes_new() && connection->endpoint() == host.endpoint;
             if (!stays) connection->close();
             return !stays;
         });
-        it = host.takes_new ? std::next(it) : hosts_.erase(it);
-    }
     for (const auto& connection : unsent) connection->give_up_unwritten();
 }
 
@@ -305,7 +318,7 @@
 // left.
 std::shared_ptr<HostPool::Connection> HostPool::connection_to(const std::string& uid) {
     const auto found = hosts_.find(uid);
-    if (found == hosts_.end() || !found->second->takes_new) return nullptr;
+    if (found == hosts_.end() || !found->second->takes_new()) return nullptr;
     auto& idle = found->second->idle;
     std::shared_ptr<Connection> connection;
     while (!connection && !idle.empty()) {
--- a/src/node/host_pool.h
+++ b/src/node/host_pool.h
@@ -56,6 +56,8 @@
 
     // Takes in the list. What has not been written yet to a host that drains or is gone ends unsent.
     void update(const TargetList& list);
+    // The same for a host that operators take out, until they put it back: the list does not lift it.
+    void ban(const std::string& uid, bool banned);
     void attempt(const AttemptKey& key, const std::string& uid, Request& message,
                  std::chrono::microseconds within);
     void cancel(const AttemptKey& key);
@@ -65,6 +67,7 @@
     class Connection;
     struct Host;
 
+    void cut_unsent();
     std::shared_ptr<Connection> connection_to(const std::string& uid);
     bool close_one_idle();
     void sweep();
@@ -75,6 +78,7 @@
     Callbacks callbacks_;
     std::unordered_map<std::string, std::shared_ptr<Host>> hosts_;
     std::unordered_set<std::shared_ptr<Connection>> busy_;
+    std::unordered_set<std::string> banned_;
     boost::asio::steady_timer sweep_timer_;
 };
 
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -13,8 +13,8 @@
 
 namespace {
 // Descriptors that are neither clients' nor hosts': standard streams, event loop, signals, listener, peers,
-// watch.
-constexpr std::size_t set_aside = 24;
+// watch, the operators' door and its callers.
+constexpr std::size_t set_aside = 32;
 
 std::size_t socket_limit(std::size_t configured) {
     rlimit limit{};
--- /dev/null
+++ b/src/node/mgmt_door.cpp
@@ -0,0 +1,153 @@
+#include "mgmt_door.h"
+
+#include <array>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <cstdio>
+#include <optional>
+
+namespace spartrack {
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+using namespace std::chrono_literals;
+
+namespace {
+constexpr std::size_t most_callers = 8;  // of the descriptors set aside
+constexpr std::size_t most_call = 4096;  // bytes of a call's header, and of its body
+constexpr auto call_most = 800ms;        // every answer is due within a second
+constexpr auto linger_most = 200ms;      // for the caller to close first
+constexpr auto accept_again = 20ms;      // after an accept that failed for want of something
+
+std::string trimmed(std::string_view text) {
+    const auto first = text.find_first_not_of(" \t\r\n");
+    if (first == text.npos) return {};
+    return std::string(text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1));
+}
+}  // namespace
+
+class MgmtDoor::Caller : public std::enable_shared_from_this<Caller> {
+  public:
+    Caller(MgmtDoor& door, tcp::socket&& socket)
+        : door_(door), socket_(std::move(socket)), timer_(socket_.get_executor()) {
+        parser_.header_limit(most_call);
+        parser_.body_limit(most_call);
+    }
+    Callers::iterator self;
+
+    void start() {
+        timer_.expires_after(call_most);
+        timer_.async_wait([self = shared_from_this()](error_code stopped) {
+            if (!stopped && !self->answered_) self->answer(http::status::request_timeout);
+        });
+        http::async_read(socket_, unread_, parser_, [self = shared_from_this()](error_code ec, std::size_t) {
+            if (self->answered_ || self->closed_) return;
+            if (ec == http::error::body_limit) return self->answer(http::status::payload_too_large);
+            if (ec == http::error::header_limit)
+                return self->answer(http::status::request_header_fields_too_large);
+            if (ec && ec.category() == boost::system::system_category()) return self->close();
+            if (ec) return self->answer(http::status::bad_request);
+            self->answer(self->door_.hear(self->parser_.get()));
+        });
+    }
+    bool answered() const { return answered_; }
+    void close() {
+        if (std::exchange(closed_, true)) return;
+        error_code ec;
+        timer_.cancel();
+        socket_.close(ec);
+        const auto keep = shared_from_this();
+        door_.callers_.erase(self);
+    }
+
+  private:
+    void answer(http::status status) {
+        answered_ = true;
+        Answer answer = make_answer(status, std::string(http::obsolete_reason(status)) + '\n');
+        answer.keep_alive(false);
+        answer.prepare_payload();
+        if (parser_.is_header_done() && parser_.get().method() == http::verb::head) answer.body().clear();
+        serialize(answer, out_);
+        timer_.expires_after(call_most);
+        timer_.async_wait([self = shared_from_this()](error_code stopped) {
+            if (!stopped) self->close();
+        });
+        asio::async_write(socket_, asio::buffer(out_),
+                          [self = shared_from_this()](error_code ec, std::size_t) {
+                              if (ec || self->closed_) return self->close();
+                              // What a half call still sends is read and dropped, so that the close does not
+                              // take the answer along.
+                              self->socket_.shutdown(tcp::socket::shutdown_send, ec);
+                              self->timer_.expires_after(linger_most);
+                              self->timer_.async_wait([self](error_code stopped) {
+                                  if (!stopped) self->close();
+                              });
+                              self->drop();
+                          });
+    }
+    void drop() {
+        socket_.async_read_some(asio::buffer(nowhere_),
+                                [self = shared_from_this()](error_code ec, std::size_t) {
+                                    if (ec) self->close();
+                                    else self->drop();
+                                });
+    }
+
+    MgmtDoor& door_;
+    tcp::socket socket_;
+    asio::steady_timer timer_;
+    boost::beast::flat_buffer unread_{2 * most_call};
+    http::request_parser<http::string_body> parser_;
+    std::array<char, 512> nowhere_;
+    std::string out_;
+    bool answered_ = false, closed_ = false;
+};
+
+MgmtDoor::MgmtDoor(asio::io_context& io, const tcp::endpoint& listen, OnCall on_call)
+    : acceptor_(io, listen, true), pause_(io), on_call_(std::move(on_call)) {
+    accept();
+}
+MgmtDoor::~MgmtDoor() {
+    while (!callers_.empty()) callers_.front()->close();
+}
+
+void MgmtDoor::accept() {
+    acceptor_.async_accept([this](error_code ec, tcp::socket socket) {
+        if (ec == asio::error::operation_aborted) return;
+        if (ec) {
+            std::fprintf(stderr, "mgmt: accept: %s\n", ec.message().c_str());
+            pause_.expires_after(accept_again);
+            return pause_.async_wait([this](error_code stopped) {
+                if (!stopped) accept();
+            });
+        }
+        if (callers_.size() >= most_callers) callers_.front()->close();
+        const auto caller = std::make_shared<Caller>(*this, std::move(socket));
+        caller->self = callers_.insert(callers_.end(), caller);
+        caller->start();
+        accept();
+    });
+}
+
+http::status MgmtDoor::hear(const Request& request) const {
+    const auto target = request.target();
+    const bool status = target == "/status", enter = target == "/maintenance/enter",
+               exit = target == "/maintenance/exit", stand_by = target == "/standby",
+               active = target == "/active";
+    if (!status && !enter && !exit && !stand_by && !active) return http::status::not_found;
+    if (request.method() != (status ? http::verb::get : http::verb::post))
+        return http::status::method_not_allowed;
+    MgmtCall call;
+    call.kind = status     ? MgmtCall::Kind::status
+                : enter    ? MgmtCall::Kind::ban
+                : exit     ? MgmtCall::Kind::put_back
+                : stand_by ? MgmtCall::Kind::stand_by
+                           : MgmtCall::Kind::activate;
+    if (enter || exit) {
+        call.host = trimmed(request.body());
+        if (call.host.empty()) return http::status::bad_request;
+    }
+    return on_call_(call);
+}
+
+}  // namespace spartrack
--- /dev/null
+++ b/src/node/mgmt_door.h
@@ -0,0 +1,49 @@
+// The operators' door: a listener of its own, one call on a connection.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+
+#include "http.h"
+
+namespace spartrack {
+
+struct MgmtCall {
+    enum class Kind { status, ban, put_back, stand_by, activate };
+    Kind kind = Kind::status;
+    std::string host;  // of ban and put_back
+};
+
+// Guards against operators that go unheard under load: its few connections are none of the clients' budget,
+// and callers that say nothing give way to those that come.
+class MgmtDoor {
+  public:
+    using OnCall = std::function<http::status(const MgmtCall&)>;
+
+    // Throws boost::system::system_error where the address can't be bound.
+    MgmtDoor(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& listen, OnCall on_call);
+    ~MgmtDoor();
+    MgmtDoor(const MgmtDoor&) = delete;
+    MgmtDoor& operator=(const MgmtDoor&) = delete;
+
+    boost::asio::ip::tcp::endpoint local_endpoint() const { return acceptor_.local_endpoint(); }
+
+  private:
+    class Caller;
+    using Callers = std::list<std::shared_ptr<Caller>>;
+
+    void accept();
+    http::status hear(const Request& request) const;
+
+    boost::asio::ip::tcp::acceptor acceptor_;
+    boost::asio::steady_timer pause_;
+    OnCall on_call_;
+    Callers callers_;  // the one that came first in front
+};
+
+}  // namespace spartrack
--- a/src/node/runtime.cpp
+++ b/src/node/runtime.cpp
@@ -115,6 +115,11 @@
             ClientServer::Callbacks{[this](ClientRequest&& request) { on_request(std::move(request)); },
                                     [this](std::uint64_t id) { on_left(id); }, [this] { return ready(); }});
     });
+    if (config.mgmt)
+        door_ = bound("mgmt", [&] {
+            return std::make_unique<MgmtDoor>(io, *config.mgmt,
+                                              [this](const MgmtCall& call) { return on_call(call); });
+        });
     told_timer_.expires_after(first_word);
     told_timer_.async_wait([this](error_code stopped) {
         if (!stopped) told_ = true;
@@ -271,6 +276,7 @@
     event.whole_list = list.whole;
     if (list.whole) ready_hosts_.clear();
     for (const Target& t : list.targets) {
+        named_.insert(t.uid);
         ready_hosts_[t.uid] = t.state == TargetState::ready;
         event.entries.push_back({t.uid, t.zone, t.kind, t.cell, state_of(t.state), t.weight,
                                  std::chrono::milliseconds(t.boot_ms)});
@@ -286,6 +292,33 @@
     if (!handling_) handle_all();
 }
 
+// ---- operators ----
+
+http::status Runtime::on_call(const MgmtCall& call) {
+    switch (call.kind) {
+        case MgmtCall::Kind::status:
+            return ready() ? http::status::ok : http::status::service_unavailable;
+        case MgmtCall::Kind::ban:
+        case MgmtCall::Kind::put_back:
+            if (named_.count(call.host) == 0) return http::status::not_found;
+            ban(call.host, call.kind == MgmtCall::Kind::ban);
+            break;
+        case MgmtCall::Kind::stand_by:
+        case MgmtCall::Kind::activate:
+            clients_->stand_by(call.kind == MgmtCall::Kind::stand_by);
+            break;
+    }
+    return http::status::ok;
+}
+// The module hears of it first, as of a change of the list.
+void Runtime::ban(const std::string& uid, bool banned) {
+    events_.push_back(sr::HostBanned{uid, banned});
+    const bool within = std::exchange(handling_, true);
+    pool_->ban(uid, banned);
+    handling_ = within;
+    if (!handling_) handle_all();
+}
+
 // ---- time ----
 
 void Runtime::arm() {
--- a/src/node/runtime.h
+++ b/src/node/runtime.h
@@ -19,6 +19,7 @@
 #include "config.h"
 #include "discovery.h"
 #include "host_pool.h"
+#include "mgmt_door.h"
 #include "peer_link.h"
 #include "request_check.h"
 #include "silverreach/interface.h"
@@ -39,6 +40,7 @@
     bool ready() const { return told_ && hosts_ready_; }
     const ClientServer& clients() const { return *clients_; }
     const PeerLink* peers() const { return peers_.get(); }
+    const MgmtDoor* door() const { return door_.get(); }
 
   private:
     // A request the module knows of, or one that is answered and has attempts out.
@@ -72,6 +74,8 @@
     void on_attempt(const HostPool::AttemptKey& key, const std::string& uid, HostResult&& result);
     void on_probe(const std::string& uid, HostResult&& result);
     void on_list(const TargetList& list);
+    http::status on_call(const MgmtCall& call);
+    void ban(const std::string& uid, bool banned);
     using LiveAt = std::unordered_map<std::uint64_t, Live>::iterator;
     void finish(LiveAt live, Answer&& answer);
     void close(LiveAt live);
@@ -95,11 +99,13 @@
     Micros armed_for_ = Micros::max(), drain_until_{0};
     bool told_ = false, hosts_ready_ = false;
     std::unordered_map<std::string, bool> ready_hosts_;
+    std::unordered_set<std::string> named_;  // every host that a list has named
     std::function<void()> drained_;
     std::unique_ptr<HostPool> pool_;
     std::unique_ptr<PeerLink> peers_;
     std::unique_ptr<Discovery> discovery_;
     std::unique_ptr<ClientServer> clients_;
+    std::unique_ptr<MgmtDoor> door_;
 };
 
 // "TEXT outstanding=7, backlog=2, utilization=0.61" to the module's report; what can't be read is left out.
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -869,3 +869,38 @@
     b.pass(3s);
     EXPECT_EQ(of<Refuse>(b.actions).size() + of<Fail>(b.actions).size(), 4u);
 }
+
+TEST(Ban, HoldsWhateverTheListSaysAndTheHostComesBackCold) {
+    Settings s = one_gateway();
+    s.plans[0].rate = s.plans[0].burst = 1e6;
+    Bench b(s, {host("a"), host("b")});
+    RequestId id = 1;
+    const auto sent_to_a = [&](int requests) {
+        int sent = 0;
+        for (const RequestId last = id + requests; id < last; ++id) {
+            b.pass(10ms);
+            for (const SendAttempt& a : of<SendAttempt>(b.ask(id))) {
+                sent += a.host == "a";
+                b.end(id, a.host, Outcome::good, 5ms);
+            }
+        }
+        return sent;
+    };
+    const int warm = sent_to_a(400);
+    EXPECT_GT(warm, 100);
+    b.feed(HostBanned{"a", true});
+    b.feed(HostBanned{"a", true});
+    EXPECT_EQ(sent_to_a(200), 0);
+    HostEntry restarted = host("a");
+    restarted.started = b.now;
+    b.feed(HostsChanged{true, {restarted, host("b")}});
+    EXPECT_EQ(sent_to_a(200), 0);
+    b.feed(HostBanned{"a", false});
+    // One word back answers any number of bans; the host counts as cold from now on, and is used.
+    const int cold = sent_to_a(400);
+    EXPECT_GT(cold, 0);
+    EXPECT_LT(cold, warm * 3 / 4);
+    b.feed(HostsChanged{true, {restarted, host("b")}});
+    b.pass(11s);
+    EXPECT_GT(sent_to_a(400), 100);
+}
--- /dev/null
+++ b/tests/node/mgmt_test.cpp
@@ -0,0 +1,73 @@
+// The operators' door by itself: calls in every form, and callers that say nothing.
+#include "loopback.h"
+#include "mgmt_door.h"
+
+namespace spartrack::test {
+namespace {
+
+struct MgmtTest : ::testing::Test {
+    asio::io_context io;
+    std::vector<MgmtCall> calls;
+    MgmtDoor door{io, any_port(), [this](const MgmtCall& call) {
+                      calls.push_back(call);
+                      return call.host == "unknown" ? http::status::not_found : http::status::ok;
+                  }};
+    unsigned said(const std::string& text) {
+        Client caller(io, door.local_endpoint());
+        caller.say(text);
+        EXPECT_TRUE(run_until(io, [&] { return caller.ended(); })) << text;
+        return caller.answers().empty() ? 0u : caller.answers()[0].result_int();
+    }
+    static std::string post(const std::string& path, const std::string& body = {}) {
+        return "POST " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(body.size()) +
+               "\r\n\r\n" + body;
+    }
+};
+
+TEST_F(MgmtTest, HearsEachCallAndEndsItsConnection) {
+    EXPECT_EQ(said("GET /status HTTP/1.1\r\nHost: x\r\n\r\n"), 200u);
+    EXPECT_EQ(said(post("/maintenance/enter", "s-1")), 200u);
+    EXPECT_EQ(said("POST /maintenance/exit HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+                   "2\r\ns-\r\n2\r\n1\n\r\n0\r\n\r\n"),
+              200u);
+    EXPECT_EQ(said(post("/standby")), 200u);
+    EXPECT_EQ(said(post("/active")), 200u);
+    ASSERT_EQ(calls.size(), 5u);
+    EXPECT_EQ(calls[1].kind, MgmtCall::Kind::ban);
+    EXPECT_EQ(calls[1].host, "s-1");
+    EXPECT_EQ(calls[2].kind, MgmtCall::Kind::put_back);
+    EXPECT_EQ(calls[2].host, "s-1");
+    EXPECT_EQ(calls[3].kind, MgmtCall::Kind::stand_by);
+    EXPECT_EQ(calls[4].kind, MgmtCall::Kind::activate);
+}
+
+TEST_F(MgmtTest, SaysNoToWhatIsNoCall) {
+    EXPECT_EQ(said("GET /nothing HTTP/1.1\r\nHost: x\r\n\r\n"), 404u);
+    EXPECT_EQ(said("GET /standby HTTP/1.1\r\nHost: x\r\n\r\n"), 405u);
+    EXPECT_EQ(said(post("/status")), 405u);
+    EXPECT_EQ(said(post("/maintenance/enter")), 400u);
+    EXPECT_EQ(said("nonsense\r\n\r\n"), 400u);
+    EXPECT_EQ(said(post("/maintenance/enter", std::string(5000, 'x'))), 413u);
+    EXPECT_TRUE(calls.empty());
+    EXPECT_EQ(said(post("/maintenance/enter", "unknown")), 404u);
+}
+
+TEST_F(MgmtTest, AnswersWithinASecondWhileOthersSayNothingOrHalf) {
+    std::vector<std::unique_ptr<Client>> silent;
+    for (int i = 0; i < 40; ++i) {
+        silent.push_back(std::make_unique<Client>(io, door.local_endpoint()));
+        if (i % 2)
+            silent.back()->say("POST /maintenance/enter HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\ns-");
+    }
+    const auto before = std::chrono::steady_clock::now();
+    EXPECT_EQ(said(post("/standby")), 200u);
+    EXPECT_LT(std::chrono::steady_clock::now() - before, 500ms);
+    EXPECT_EQ(calls.size(), 1u);
+    // A half call gets a no in time.
+    EXPECT_TRUE(run_until(io, [&] { return silent[39]->ended(); }));
+    EXPECT_EQ(silent[39]->answers().at(0).result_int(), 408u);
+    EXPECT_LT(std::chrono::steady_clock::now() - before, 1s);
+}
+
+}  // namespace
+}  // namespace spartrack::test
