Pass sockets, connections and state to the process of an upgrade

Attempts that the former process has out count against a customer's open cap for two mean answer times; bans and standby are told both ways.

--- a/include/silverreach/interface.h
+++ b/include/silverreach/interface.h
@@ -141,9 +141,18 @@
 struct TimerFired {
     std::uint64_t token = 0;
 };
+// An upgrade. Another process takes over: answered by LeaveState, and from then on this one lets nothing new
+// in. Or it takes back what it left, as the other has ended.
+struct HandedOver {
+    bool away = true;
+};
+// What the process before this one has left. A state of another version is passed over.
+struct StateLeft {
+    std::string bytes;
+};
 
 using Event = std::variant<HostsChanged, HostBanned, RequestArrived, AttemptEnded, ProbeEnded, ClientLeft,
-                           MessageArrived, TimerFired>;
+                           MessageArrived, TimerFired, HandedOver, StateLeft>;
 
 // ---- actions --------------------------------------------------------------------------------------------
 
@@ -175,7 +184,12 @@
     std::string bytes;
 };
 
-using Action = std::variant<SendAttempt, Refuse, Fail, CancelAttempt, ProbeHost, SetTimer, SendMessage>;
+struct LeaveState {
+    std::string bytes;
+};
+
+using Action =
+    std::variant<SendAttempt, Refuse, Fail, CancelAttempt, ProbeHost, SetTimer, SendMessage, LeaveState>;
 
 // ---- the module -----------------------------------------------------------------------------------------
 
--- a/src/benchlink/link.cpp
+++ b/src/benchlink/link.cpp
@@ -325,6 +325,7 @@
             put_number(s.reply, a.token);
             s.reply.push_back('"');
         }
+        void operator()(const LeaveState&) const {}  // the simulator knows no upgrades
         void operator()(const SendMessage& a) const {
             s.open("WritePeer", number);
             if (a.to < 0)
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -11,6 +11,7 @@
 
 #include "peer_message.h"
 #include "silverreach/interface.h"
+#include "state_bytes.h"
 
 namespace silverreach {
 namespace {
@@ -62,8 +63,20 @@
                  window_slack = 2;  // deviations of own attempts out that pass; they even out in sum
 constexpr int probe_rounds = 2;     // pairs of hosts probed for one request
 
-enum class TimerKind : std::uint64_t { deadline, release, check, expiry, part, probe, flush, beat };
-constexpr std::uint64_t timer_kinds = 8;
+enum class TimerKind : std::uint64_t {
+    deadline,
+    release,
+    check,
+    expiry,
+    part,
+    probe,
+    flush,
+    beat,
+    inherited
+};
+constexpr std::uint64_t timer_kinds = 9;
+constexpr std::uint32_t state_version = 1;  // of what an upgrade leaves; another version's is passed over
+constexpr double inherited_answers = 2;     // mean answer times for which inherited attempts count as out
 
 double seconds(Micros t) { return static_cast<double>(t.count()) / 1e6; }
 Micros micros(double s) { return Micros(static_cast<std::int64_t>(std::clamp(s, 0.0, 4e3) * 1e6)); }
@@ -327,7 +340,7 @@
     // here while others could use it, a request's units or so.
     void ask_ahead(Customer& c, double k) {
         const Plan* p = plan_of(c);
-        if (!p || p->rate <= 0 || c.ahead || now_ < c.dry_until) return;
+        if (!p || p->rate <= 0 || c.ahead || now_ < c.dry_until || handed_) return;
         const double soon = std::max(k, c.own.value(now_, use_memory_s) / use_memory_s * part_ahead_s);
         const int to = home(c.hash, c.set_start, c.set_size, 0);
         if (c.level >= soon || to == s_.rank || !s_.may_message || now_ < peers_[to].silent_until) return;
@@ -410,7 +423,7 @@
         if (r.request_class < 0 || r.request_class >= static_cast<int>(s_.classes.size()) ||
             r.plan >= static_cast<int>(s_.plans.size()) || requests_.count(r.id))
             return;
-        if (r.time_left <= 0us) return actions_->push_back(Refuse{r.id, 0us});
+        if (r.time_left <= 0us || handed_) return actions_->push_back(Refuse{r.id, 0us});
         Customer& c = customer(r);
         Request q;
         q.ask = r, q.customer = &c, q.deadline = now_ + r.time_left;
@@ -910,7 +923,7 @@
     // ---- parts among gateways -------------------------------------------------------------------------
 
     void on(const MessageArrived& m) {
-        if (m.from < 0 || m.from >= s_.instances || m.from == s_.rank) return;
+        if (m.from < 0 || m.from >= s_.instances || m.from == s_.rank || handed_) return;
         const auto messages = unpack(m.bytes);
         if (!messages) return;
         Peer& peer = peers_[m.from];
@@ -994,6 +1007,121 @@
         return c;
     }
 
+    // ---- upgrades ---------------------------------------------------------------------------------------
+
+    // The stores go to the next process, but for what requests let in here are still to take; who waits for a
+    // part is refused. Guards against two processes that spend one quota; harms those few requests.
+    void on(const HandedOver& e) {
+        if (!std::exchange(handed_, e.away) && e.away) {
+            actions_->push_back(LeaveState{state()});
+            ledgers_.clear(), asks_.clear();
+            std::vector<RequestId> lack;
+            for (auto& [name, c] : customers_) {
+                c.nonce = 0, c.ahead = false, c.overdue = 0;
+                for (auto* line : {&c.asking, &c.held}) {
+                    lack.insert(lack.end(), line->begin(), line->end());
+                    line->clear();
+                }
+            }
+            std::sort(lack.begin(), lack.end());
+            for (const RequestId id : lack)
+                if (const auto it = requests_.find(id); it != requests_.end()) refuse(it->second, 0us);
+        }
+        // Taken back: as after a start, a former life may have spent all that is not left here.
+        if (!e.away) boot_ = now_;
+        for (auto& [name, c] : customers_) c.touched = now_, c.level = 0, c.hard_level = c.hard_reserved;
+    }
+    template <class Table>
+    static auto sorted(const Table& table) {
+        std::vector<const typename Table::value_type*> rows;
+        for (const auto& row : table) rows.push_back(&row);
+        std::sort(rows.begin(), rows.end(), [](auto* a, auto* b) { return a->first < b->first; });
+        return rows;
+    }
+    std::string state() const {
+        StateWriter w;
+        const auto fading = [&w](const Fading& f) { w.put(f.amount, f.at); };
+        w.put(state_version, answer_s_, slow_share_, pressed_, mean_units_, warm_rate_, limit_);
+        for (const Fading* f : {&warm_sent_, &work_out_, &retry_earned_, &retry_spent_}) fading(*f);
+        w.put(static_cast<std::uint32_t>(banned_.size()));
+        for (const std::string& name : banned_) w.put(name);
+        w.put(static_cast<std::uint32_t>(put_back_.size()));
+        for (const auto& [name, when] : put_back_) w.put(name, when);
+        w.put(static_cast<std::uint32_t>(hosts_.size()));
+        for (const auto& [name, h] : hosts_) {
+            w.put(name, h.told_start, h.entry.started, h.out_limit, h.answer_s, h.failures, h.ejections,
+                  h.looked_at, h.last_answer, h.blocked_until);
+            fading(h.answers);
+        }
+        w.put(static_cast<std::uint32_t>(ledgers_.size()));
+        for (const auto* row : sorted(ledgers_)) {
+            const Ledger& l = row->second;
+            w.put(row->first, l.level, l.hard, l.touched, l.promised), fading(l.asked);
+        }
+        w.put(static_cast<std::uint32_t>(customers_.size()));
+        for (const auto* row : sorted(customers_)) {
+            const Customer& c = row->second;
+            w.put(row->first, c.hash, c.plan, c.set_size, c.set_start, c.touched, c.last_use, c.level,
+                  c.even_at, c.told_demand, c.told_at, c.dry_until, c.dry_need,
+                  c.hard_level - c.hard_reserved, c.open + c.leaving, c.limiter.stored, c.limiter.next_free);
+            fading(c.own);
+        }
+        return w.take();
+    }
+    void on(const StateLeft& e) {
+        try {
+            take_over(e.bytes);
+        } catch (const std::out_of_range&) {
+            // Cut short: what was read serves, the rest is as after a start.
+        }
+        timer(micros(inherited_answers * answer_s_), 0, TimerKind::inherited);
+        list_hosts();
+    }
+    void take_over(const std::string& bytes) {
+        StateReader r(bytes);
+        if (bytes.size() < sizeof state_version || r.get<std::uint32_t>() != state_version) return;
+        const auto fading = [&r](Fading& f) { r.get(f.amount, f.at); };
+        r.get(answer_s_, slow_share_, pressed_, mean_units_, warm_rate_, limit_);
+        for (Fading* f : {&warm_sent_, &work_out_, &retry_earned_, &retry_spent_}) fading(*f);
+        for (auto n = r.get<std::uint32_t>(); n > 0; --n) banned_.insert(r.get<std::string>());
+        for (auto n = r.get<std::uint32_t>(); n > 0; --n) r.get(put_back_[r.get<std::string>()]);
+        for (auto n = r.get<std::uint32_t>(); n > 0; --n) {
+            Host seen;
+            const auto name = r.get<std::string>();
+            r.get(seen.told_start, seen.entry.started, seen.out_limit, seen.answer_s, seen.failures,
+                  seen.ejections, seen.looked_at, seen.last_answer, seen.blocked_until);
+            fading(seen.answers);
+            const auto it = hosts_.find(name);
+            // A host that the list here says to have restarted since is another one.
+            if (it == hosts_.end()) continue;
+            seen.entry.started = std::max(seen.entry.started, it->second.entry.started);
+            const bool same = it->second.told_start <= seen.told_start;
+            it->second.entry.started = seen.entry.started;
+            if (!same) continue;
+            seen.entry = it->second.entry, seen.place = it->second.place, seen.out = it->second.out;
+            it->second = std::move(seen);
+        }
+        for (auto& [name, h] : hosts_) h.banned = banned_.count(name) > 0;
+        for (auto n = r.get<std::uint32_t>(); n > 0; --n) {
+            Ledger& l = ledgers_[r.get<std::uint32_t>()];
+            r.get(l.level, l.hard, l.touched, l.promised), fading(l.asked);
+        }
+        for (auto n = r.get<std::uint32_t>(); n > 0; --n) {
+            Customer& c = customers_[r.get<std::string>()];
+            int open = 0;
+            r.get(c.hash, c.plan, c.set_size, c.set_start, c.touched, c.last_use, c.level, c.even_at,
+                  c.told_demand, c.told_at, c.dry_until, c.dry_need, c.hard_level, open, c.limiter.stored,
+                  c.limiter.next_free);
+            fading(c.own);
+            if (open > 0) c.open += open, inherited_.emplace_back(&c, open);
+        }
+    }
+    // The attempts that the former process had out are over by now, as far as this one can tell.
+    void end_inherited() {
+        for (const auto& [customer, open] : std::exchange(inherited_, {}))
+            customer->open = std::max(0, customer->open - open), fill_places(*customer);
+    }
+
     // ---- timers -----------------------------------------------------------------------------------------
 
     void timer(Micros wait, RequestId id, TimerKind kind) {
@@ -1011,6 +1139,7 @@
             return;
         }
         if (kind == TimerKind::beat && about == 0) return beat();
+        if (kind == TimerKind::inherited) return end_inherited();
         const auto it = requests_.find(about);
         if (it == requests_.end()) return pump();
         Request& q = it->second;
@@ -1069,8 +1198,9 @@
     std::size_t warm_ = 0;
     Fading warm_sent_, work_out_, retry_earned_, retry_spent_;
     double answer_s_ = 0, slow_share_ = 0, mean_units_ = 1, warm_rate_ = 0, limit_ = limit_least;
-    bool pressed_ = false;
-    int out_ = 0;  // own attempts out
+    bool pressed_ = false, handed_ = false;
+    std::vector<std::pair<Customer*, int>> inherited_;  // attempts of the former process
+    int out_ = 0;                                       // own attempts out
 };
 
 Gateway::Gateway(Settings settings, std::uint64_t seed, Micros now)
--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -1,14 +1,18 @@
 #include "client_server.h"
 
+#include <fcntl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <cstdio>
 #include <optional>
 
+#include "shared_address.h"
+
 namespace spartrack {
 namespace asio = boost::asio;
 using asio::ip::tcp;
@@ -55,6 +59,19 @@
         socket_.non_blocking(true, ec);
         read();
     }
+    // As `start`, of one that another process has handed over.
+    void go_on_from(std::string_view unread, bool first) {
+        first_ = first;
+        if (!first) expect(idle_most);
+        unread_.commit(asio::buffer_copy(unread_.prepare(unread.size()), asio::buffer(unread)));
+        error_code ec;
+        socket_.non_blocking(true, ec);
+        parse();
+        read();
+    }
+    void offer() {
+        if (passable()) pass();
+    }
     // Between requests, with nothing of a next one here or in the kernel.
     bool idle() const {
         error_code ec;
@@ -128,6 +145,20 @@
     bool between_requests() const {
         return !closed_ && request_ == 0 && !writing_ && !lingering_ && !parser_;
     }
+    // What stands unread goes along; what the parser has taken up could not.
+    bool passable() const {
+        return !closed_ && request_ == 0 && !writing_ && !lingering_ && !paused_ && (!parser_ || !taken_up_);
+    }
+    void pass() {
+        error_code ec;
+        Descriptor socket(socket_.release(ec));
+        if (ec) return close();
+        closed_ = true;
+        const auto keep = shared_from_this();
+        list->erase(self);
+        place_.give_back();
+        server_.pass_(std::move(socket), boost::beast::buffers_to_string(unread_.data()), first_);
+    }
     void move_to(Connections& other, Connections::iterator before) {
         other.splice(before, *list, self);
         list = &other;
@@ -143,6 +174,7 @@
     }
 
     void read() {
+        if (server_.pass_ && passable()) return pass();
         if (closed_ || reading_ || paused_) return;
         // A client that sends on and on before its answer is not read further.
         if (!lingering_ && (request_ != 0 || writing_) && unread_.size() >= read_at_once) return;
@@ -186,6 +218,7 @@
     bool parse_some() {
         if (!parser_) {
             parser_.emplace();
+            taken_up_ = false;
             parser_->eager(true);
             parser_->header_limit(most_header);
             parser_->body_limit(most_body);
@@ -196,6 +229,7 @@
         const bool in_header = !parser_->is_header_done();
         const std::size_t used = parser_->put(unread_.data(), ec);
         unread_.consume(used);
+        taken_up_ = taken_up_ || used > 0;
         if (ec == http::error::need_more) ec = {};
         if (ec == http::error::header_limit)
             return fail(http::status::request_header_fields_too_large, "header too large"), true;
@@ -317,10 +351,11 @@
     bool keep_alive_ = true, close_after_ = false;
     bool reading_ = false, parsing_ = false, writing_ = false, lingering_ = false, closed_ = false;
     bool paused_ = false, first_ = true;
+    bool taken_up_ = false;  // bytes, by the parser
 };
 
 ClientServer::ClientServer(asio::io_context& io, const tcp::endpoint& listen, SocketBudget& budget,
-                           std::size_t most_bytes, Callbacks callbacks)
+                           std::size_t most_bytes, Callbacks callbacks, Descriptor&& listener)
     : io_(io),
       budget_(budget),
       callbacks_(std::move(callbacks)),
@@ -328,10 +363,15 @@
       accept_pause_(io),
       sweep_timer_(io),
       bodies_(most_bytes) {
-    acceptor_.open(listen.protocol());
-    acceptor_.set_option(tcp::acceptor::reuse_address(true));  // a restart binds at once
-    acceptor_.bind(listen);
-    acceptor_.listen(asio::socket_base::max_listen_connections);
+    if (listener) {
+        acceptor_.assign(listen.protocol(), listener.release());
+    } else {
+        acceptor_.open(listen.protocol());
+        acceptor_.set_option(tcp::acceptor::reuse_address(true));  // a restart binds at once
+        acceptor_.set_option(reuse_port(true));  // as does one whose former process is there and silent
+        acceptor_.bind(listen);
+        acceptor_.listen(asio::socket_base::max_listen_connections);
+    }
     acceptor_.non_blocking(true);
     budget_.on_shortage(SocketBudget::Side::client, [this] { return make_room(); });
     budget_.on_freed([this] {
@@ -352,11 +392,11 @@
 // One accept is under way unless there is no room for a further client: then the next comes with a freed
 // place.
 void ClientServer::accept() {
-    if (accepting_ || !acceptor_.is_open()) return;
+    if (accepting_ || pass_ || !acceptor_.is_open()) return;
     accepting_ = true;
     acceptor_.async_wait(tcp::acceptor::wait_read, [this](error_code waited) {
         accepting_ = false;
-        if (waited || !acceptor_.is_open()) return;
+        if (waited || pass_ || !acceptor_.is_open()) return;
         error_code ec;
         if (!take_one(ec)) {
             starved_ = true;
@@ -451,9 +491,42 @@
 }
 bool ClientServer::take_rest() {
     bool any = false;
+    if (pass_) return any;  // they are another process's
     for (error_code ec; take_one(ec) && !ec;) any = true;
     return any;
 }
+Descriptor ClientServer::share_listener() const {
+    return Descriptor(::fcntl(const_cast<tcp::acceptor&>(acceptor_).native_handle(), F_DUPFD_CLOEXEC, 0));
+}
+void ClientServer::hand_over(Pass pass) {
+    pass_ = std::move(pass);
+    error_code ec;
+    acceptor_.cancel(ec);
+    for (Connections* list : {&newcomers_, &known_})
+        for (auto it = list->begin(); it != list->end();) {
+            const auto connection = *it++;
+            connection->offer();
+        }
+}
+void ClientServer::take_back() {
+    pass_ = {};
+    accept();
+}
+void ClientServer::adopt(Descriptor&& socket, std::string_view unread, bool first) {
+    std::optional<SocketBudget::Place> place = budget_.take(SocketBudget::Side::client);
+    error_code ec;
+    tcp::socket adopted(io_);
+    adopted.assign(acceptor_.local_endpoint().protocol(), socket.get(), ec);
+    if (!ec) socket.release();  // it is the socket's now
+    if (!place || ec) return;
+    const auto taken = std::make_shared<Connection>(*this, std::move(adopted), std::move(*place));
+    Connections& list = first ? newcomers_ : known_;
+    taken->self = list.insert(list.end(), taken);
+    taken->list = &list;
+    taken->go_on_from(unread, first);
+}
+std::size_t ClientServer::held_up() const { return in_hand_.size(); }
+
 bool ClientServer::quiet() const {
     const auto busy = [](const auto& c) { return c->busy(); };
     return std::none_of(newcomers_.begin(), newcomers_.end(), busy) &&
--- a/src/node/client_server.h
+++ b/src/node/client_server.h
@@ -13,6 +13,7 @@
 #include <unordered_map>
 
 #include "byte_budget.h"
+#include "handover.h"
 #include "http.h"
 #include "socket_budget.h"
 
@@ -32,9 +33,15 @@
         std::function<bool()> ready;                    // what /_health tells
     };
 
-    // `most_bytes`: of bodies, in all. Throws boost::system::system_error where the address can't be bound.
+    // Takes a connection that is between requests, what has been read of its next one, and whether that is
+    // its first.
+    using Pass = std::function<void(Descriptor&&, std::string&& unread, bool first)>;
+
+    // `most_bytes`: of bodies, in all. `listener`: bound already, by a former process; none: it is bound
+    // here. Throws boost::system::system_error where the address can't be bound.
     ClientServer(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& listen,
-                 SocketBudget& budget, std::size_t most_bytes, Callbacks callbacks);
+                 SocketBudget& budget, std::size_t most_bytes, Callbacks callbacks,
+                 Descriptor&& listener = {});
     ~ClientServer();
     ClientServer(const ClientServer&) = delete;
     ClientServer& operator=(const ClientServer&) = delete;
@@ -49,6 +56,13 @@
     // Standby: the same for as long as it is on.
     void stand_by(bool on);
     bool standing_by() const { return standby_; }
+    // To another process go the listener, and each connection as soon as it is between requests.
+    Descriptor share_listener() const;
+    void hand_over(Pass pass);
+    void take_back();
+    void adopt(Descriptor&& socket, std::string_view unread, bool first);
+    // Connections that a request keeps from being handed over.
+    std::size_t held_up() const;
     // Takes in what the machine has accepted already: requests in there count as taken. False if that was
     // nothing.
     bool take_rest();
@@ -61,7 +75,7 @@
     using Connections = std::list<std::shared_ptr<Connection>>;
 
     void accept();
-    bool leaving() const { return draining_ || standby_; }
+    bool leaving() const { return (draining_ && !pass_) || standby_; }
     void close_idle();
     bool take_one(boost::system::error_code& ec);
     std::shared_ptr<Connection> take_from_hand(std::uint64_t id);
@@ -76,6 +90,7 @@
     Callbacks callbacks_;
     boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::steady_timer accept_pause_, sweep_timer_;
+    Pass pass_;  // while another process takes the clients
     ByteBudget bodies_;
     // Those that have not sent a whole request yet and those that end, and those that have: the one that came
     // or was used longest ago first.
--- a/src/node/config.cpp
+++ b/src/node/config.cpp
@@ -42,6 +42,7 @@
         c.mgmt = read_endpoint<tcp::endpoint>(json::as_text(*door, "mgmt"), "mgmt");
     else if (const char* const address = environment("BALANCER_MGMT"))
         c.mgmt = read_endpoint<tcp::endpoint>(address, "mgmt");
+    if (const char* const folder = environment("TMPDIR")) c.handover_folder = folder;
     if (auto seed = json::optional_key(o, "seed")) c.seed = read_seed(*seed);
     if (auto limits = json::optional_key(o, "limits")) {
         const json::object bounds = json::as_object(*limits, "limits");
--- a/src/node/config.h
+++ b/src/node/config.h
@@ -23,6 +23,7 @@
     std::optional<boost::asio::ip::udp::endpoint> peer_listen, peers_all;
     std::vector<boost::asio::ip::udp::endpoint> peers;  // by rank
     std::uint64_t seed = 0;
+    std::string handover_folder;  // where the processes of an upgrade find each other; empty: they don't
     std::size_t sockets = 1024;   // file descriptors that the process may hold
     std::size_t memory_mb = 192;  // over which the process is killed
     TargetList known;
--- a/src/node/host_pool.cpp
+++ b/src/node/host_pool.cpp
@@ -91,6 +91,27 @@
         return ec == asio::error::would_block || ec == asio::error::try_again;
     }
 
+    // Another process has had it, idle for so long.
+    bool adopt(Descriptor&& socket, std::chrono::microseconds idle_for) {
+        error_code ec;
+        socket_.assign(endpoint_.protocol(), socket.get(), ec);
+        if (ec) return false;
+        socket.release();
+        socket_.non_blocking(true, ec);
+        state_ = State::idle;
+        since_ = Steady::now() - idle_for;
+        read();
+        return true;
+    }
+    Descriptor release() {
+        state_ = State::closed;
+        timer_.cancel();
+        error_code ec;
+        Descriptor socket(socket_.release(ec));
+        place_.give_back();
+        return socket;
+    }
+
     void close() {
         state_ = State::closed;
         timer_.cancel();
@@ -368,6 +389,29 @@
     connection->cancel();
 }
 
+void HostPool::hand_over(const Pass& pass) {
+    const auto now = Steady::now();
+    for (const auto& [uid, host] : hosts_)
+        for (const auto& connection : std::exchange(host->idle, {}))
+            if (connection->silent())
+                pass(connection->release(), uid,
+                     std::chrono::duration_cast<std::chrono::microseconds>(now - connection->idle_since()));
+            else connection->close();
+}
+void HostPool::adopt(Descriptor&& socket, const std::string& uid, std::chrono::microseconds idle_for) {
+    const auto found = hosts_.find(uid);
+    if (found == hosts_.end() || !found->second->takes_new()) return;
+    auto place = budget_.take(SocketBudget::Side::host);
+    if (!place) return;
+    const auto connection = std::make_shared<Connection>(*this, found->second, std::move(*place));
+    if (!connection->adopt(std::move(socket), idle_for)) return;
+    // The one used last at the end.
+    auto& idle = found->second->idle;
+    idle.insert(std::find_if(idle.begin(), idle.end(),
+                             [&](const auto& c) { return c->idle_since() > connection->idle_since(); }),
+                connection);
+}
+
 bool HostPool::close_one_idle() {
     Host* oldest = nullptr;
     for (const auto& [uid, host] : hosts_)
--- a/src/node/host_pool.h
+++ b/src/node/host_pool.h
@@ -13,6 +13,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "handover.h"
 #include "http.h"
 #include "socket_budget.h"
 #include "targets.h"
@@ -62,6 +63,13 @@
                  std::chrono::microseconds within);
     void cancel(const AttemptKey& key);
     void probe(const std::string& uid);
+    // Idle connections, for another process and from one.
+    using Pass =
+        std::function<void(Descriptor&&, const std::string& uid, std::chrono::microseconds idle_for)>;
+    void hand_over(const Pass& pass);
+    void adopt(Descriptor&& socket, const std::string& uid, std::chrono::microseconds idle_for);
+    std::size_t busy() const { return busy_.size(); }
+    const std::unordered_set<std::string>& banned() const { return banned_; }
 
   private:
     class Connection;
--- a/src/node/peer_link.h
+++ b/src/node/peer_link.h
@@ -20,6 +20,12 @@
     // Throws boost::system::system_error where the address can't be bound.
     PeerLink(boost::asio::io_context& io, const Endpoint& listen, std::vector<Endpoint> peers,
              std::optional<Endpoint> everyone, int own_rank, OnMessage on_message);
+    // The same on a socket that is bound already.
+    PeerLink(boost::asio::io_context& io, const Endpoint& listen, int socket, std::vector<Endpoint> peers,
+             std::optional<Endpoint> everyone, int own_rank, OnMessage on_message);
+    // While it does not listen, what comes waits for whoever else has the socket.
+    void listen(bool on);
+    int native_handle() { return socket_.native_handle(); }
     // To one peer by rank, or below 0 to all. A message over 256 bytes is not sent.
     void send(int to, std::string_view bytes);
     Endpoint local_endpoint() const { return socket_.local_endpoint(); }
@@ -27,6 +33,7 @@
   private:
     void receive();
 
+    bool listening_ = false;
     static constexpr std::size_t most_bytes = 256;
     boost::asio::ip::udp::socket socket_;
     std::vector<Endpoint> peers_;
--- a/src/node/runtime.cpp
+++ b/src/node/runtime.cpp
@@ -1,9 +1,12 @@
 #include "runtime.h"
 
+#include <fcntl.h>
+
 #include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <cstdio>
+#include <cstdlib>
 #include <string_view>
 
 namespace spartrack {
@@ -24,6 +27,20 @@
 // host.
 constexpr std::size_t bodies_part = 8;
 
+constexpr std::size_t state_piece = 32 * 1024;
+// What the former process of an upgrade may open still, for further attempts.
+constexpr std::size_t sockets_for_the_rest = 16;
+
+// The same for each process of one gateway, and for no other's.
+std::string handover_name(const Config& config) {
+    const std::string who =
+        config.name + ' ' + config.listen.address().to_string() + ' ' + std::to_string(config.listen.port());
+    char text[24];
+    std::snprintf(text, sizeof text, "%016llx",
+                  static_cast<unsigned long long>(std::hash<std::string>{}(who)));
+    return text;
+}
+
 sr::Outcome outcome_of(HostOutcome outcome) {
     switch (outcome) {
         case HostOutcome::served:
@@ -87,6 +104,9 @@
 
 Runtime::Runtime(boost::asio::io_context& io, SocketBudget& budget, const Config& config)
     : io_(io),
+      budget_(budget),
+      sockets_(budget.most()),
+      config_(config),
       settings_(config.settings),
       gateway_(config.settings, config.seed, clock_.now()),
       check_(config.settings),
@@ -99,22 +119,9 @@
                                 on_attempt(key, uid, std::move(result));
                             },
                             [this](const auto& uid, auto&& result) { on_probe(uid, std::move(result)); }});
-    if (config.peer_listen && settings_.may_message)
-        peers_ = bound("peer_listen", [&] {
-            return std::make_unique<PeerLink>(io, *config.peer_listen, config.peers, config.peers_all,
-                                              settings_.rank, [this](int from, std::string_view bytes) {
-                                                  feed(sr::MessageArrived{from, std::string(bytes)});
-                                              });
-        });
     TargetList known = config.known;
     known.whole = true;
     on_list(known);
-    clients_ = bound("listen", [&] {
-        return std::make_unique<ClientServer>(
-            io, config.listen, budget, config.memory_mb * mega / bodies_part,
-            ClientServer::Callbacks{[this](ClientRequest&& request) { on_request(std::move(request)); },
-                                    [this](std::uint64_t id) { on_left(id); }, [this] { return ready(); }});
-    });
     if (config.mgmt)
         door_ = bound("mgmt", [&] {
             return std::make_unique<MgmtDoor>(io, *config.mgmt,
@@ -122,12 +129,110 @@
         });
     told_timer_.expires_after(first_word);
     told_timer_.async_wait([this](error_code stopped) {
-        if (!stopped) told_ = true;
+        if (!stopped) first_told();
     });
     discovery_ = std::make_unique<Discovery>(io, config.discovery, [this](const TargetList& list) {
         on_list(list);
-        told_ = true;
+        first_told();
+    });
+    upgrade_ = std::make_unique<Upgrade>(
+        io, HandoverPlace(io, config.handover_folder, handover_name(config)),
+        Upgrade::Callbacks{[this](Upgrade::Left&& left) { serve(std::move(left)); }, [this] { serve({}); },
+                           [this](HandoverMessage&& connection) { adopt(std::move(connection)); },
+                           [this] { budget_.set_most(sockets_); },
+                           [this](HandoverChannel& next) { leave(next); }, [this] { take_back(); },
+                           [this](HandoverMessage&& fact) { told(fact); }});
+    if (!upgrade_->begin()) serve({});
+}
+
+// ---- upgrades ----
+
+void Runtime::serve(Upgrade::Left&& left) {
+    if (left.sockets_kept > 0) budget_.set_most(sockets_ - std::min(left.sockets_kept, sockets_ / 2));
+    for (const HandoverMessage& fact : left.facts) told(fact);
+    if (!left.state.empty()) feed(sr::StateLeft{std::move(left.state)});
+    const auto on_message = [this](int from, std::string_view bytes) {
+        feed(sr::MessageArrived{from, std::string(bytes)});
+    };
+    if (config_.peer_listen && settings_.may_message)
+        peers_ = bound("peer_listen", [&] {
+            if (left.peers)
+                return std::make_unique<PeerLink>(io_, *config_.peer_listen, left.peers.release(),
+                                                  config_.peers, config_.peers_all, settings_.rank,
+                                                  on_message);
+            return std::make_unique<PeerLink>(io_, *config_.peer_listen, config_.peers, config_.peers_all,
+                                              settings_.rank, on_message);
+        });
+    clients_ = bound("listen", [&] {
+        return std::make_unique<ClientServer>(
+            io_, config_.listen, budget_, config_.memory_mb * mega / bodies_part,
+            ClientServer::Callbacks{[this](ClientRequest&& request) { on_request(std::move(request)); },
+                                    [this](std::uint64_t id) { on_left(id); }, [this] { return ready(); }},
+            std::move(left.listener));
+    });
+    clients_->stand_by(standby_);
+}
+void Runtime::first_told() {
+    told_ = true;
+    if (upgrade_ && upgrade_->waiting()) upgrade_->ready();
+}
+
+// All at once: in between nothing is heard, so that no request is decided on by both processes.
+void Runtime::leave(HandoverChannel& next) {
+    using Kind = HandoverMessage::Kind;
+    feed(sr::HandedOver{true});
+    next.send(Kind::listener, {}, clients_->share_listener());
+    if (peers_) {
+        peers_->listen(false);
+        next.send(Kind::peers, {}, Descriptor(::fcntl(peers_->native_handle(), F_DUPFD_CLOEXEC, 0)));
+    }
+    for (std::size_t at = 0; at < left_state_.size(); at += state_piece)
+        next.send(Kind::state, left_state_.substr(at, state_piece));
+    for (const std::string& uid : named_) next.send(Kind::named, uid);
+    for (const std::string& uid : pool_->banned()) next.send(Kind::ban, uid);
+    if (standby_) next.send(Kind::stand_by);
+    const std::size_t kept = clients_->held_up() + pool_->busy() + sockets_for_the_rest;
+    next.send(Kind::done, std::to_string(kept));
+    const auto channel = next.shared_from_this();
+    clients_->hand_over([channel](Descriptor&& socket, std::string&& unread, bool first) {
+        channel->send(Kind::client, (first ? '1' : '0') + std::move(unread), std::move(socket));
     });
+    pool_->hand_over([&next](Descriptor&& socket, const std::string& uid, Micros idle_for) {
+        next.send(Kind::host, std::to_string(idle_for.count()) + ' ' + uid, std::move(socket));
+    });
+    budget_.set_most(kept);
+    std::string().swap(left_state_);
+}
+void Runtime::carry_out(sr::LeaveState& action) { left_state_ = std::move(action.bytes); }
+void Runtime::take_back() {
+    if (drained_) return;
+    budget_.set_most(sockets_);
+    feed(sr::HandedOver{false});
+    if (peers_) peers_->listen(true);
+    clients_->take_back();
+}
+void Runtime::adopt(HandoverMessage&& connection) {
+    if (connection.kind == HandoverMessage::Kind::client) {
+        const std::string_view text = connection.text;
+        return clients_->adopt(std::move(connection.descriptor),
+                               text.substr(std::min<std::size_t>(1, text.size())), text.substr(0, 1) == "1");
+    }
+    const std::size_t space = connection.text.find(' ');
+    if (space == std::string::npos) return;
+    pool_->adopt(std::move(connection.descriptor), connection.text.substr(space + 1),
+                 Micros(std::strtoll(connection.text.c_str(), nullptr, 10)));
+}
+void Runtime::told(const HandoverMessage& fact) {
+    switch (fact.kind) {
+        case HandoverMessage::Kind::ban:
+        case HandoverMessage::Kind::put_back:
+            return ban(fact.text, fact.kind == HandoverMessage::Kind::ban);
+        case HandoverMessage::Kind::stand_by:
+        case HandoverMessage::Kind::activate:
+            return stand_by(fact.kind == HandoverMessage::Kind::stand_by);
+        default:
+            named_.insert(fact.text);
+    }
 }
 
 // ---- events in, actions out ----
@@ -302,14 +407,22 @@
         case MgmtCall::Kind::put_back:
             if (named_.count(call.host) == 0) return http::status::not_found;
             ban(call.host, call.kind == MgmtCall::Kind::ban);
+            upgrade_->tell(call.kind == MgmtCall::Kind::ban ? HandoverMessage::Kind::ban
+                                                            : HandoverMessage::Kind::put_back,
+                           call.host);
             break;
         case MgmtCall::Kind::stand_by:
         case MgmtCall::Kind::activate:
-            clients_->stand_by(call.kind == MgmtCall::Kind::stand_by);
+            stand_by(call.kind == MgmtCall::Kind::stand_by);
+            upgrade_->tell(standby_ ? HandoverMessage::Kind::stand_by : HandoverMessage::Kind::activate);
             break;
     }
     return http::status::ok;
 }
+void Runtime::stand_by(bool on) {
+    standby_ = on;
+    if (clients_) clients_->stand_by(on);
+}
 // The module hears of it first, as of a change of the list.
 void Runtime::ban(const std::string& uid, bool banned) {
     events_.push_back(sr::HostBanned{uid, banned});
@@ -358,6 +471,7 @@
 void Runtime::drain(std::function<void()> done) {
     if (drained_) return;
     drained_ = std::move(done);
+    if (!clients_) return drained_();
     clients_->drain();
     Micros longest{0};
     for (const sr::RequestClass& c : settings_.classes) longest = std::max(longest, c.deadline);
--- a/src/node/runtime.h
+++ b/src/node/runtime.h
@@ -24,12 +24,14 @@
 #include "request_check.h"
 #include "silverreach/interface.h"
 #include "socket_budget.h"
+#include "upgrade.h"
 
 namespace spartrack {
 
 class Runtime {
   public:
     // Throws ConfigError where an address can't be bound or the settings can't work.
+    // A former process on the same addresses is looked for in the configuration's `handover_folder`.
     Runtime(boost::asio::io_context& io, SocketBudget& budget, const Config& config);
 
     // Takes over what may change while the gateway runs: the address of discovery. The list in hand goes on
@@ -37,7 +39,7 @@
     void reload(const Config& config);
     // Begins a planned end: calls `done` once all that was taken is answered.
     void drain(std::function<void()> done);
-    bool ready() const { return told_ && hosts_ready_; }
+    bool ready() const { return clients_ && told_ && hosts_ready_; }
     const ClientServer& clients() const { return *clients_; }
     const PeerLink* peers() const { return peers_.get(); }
     const MgmtDoor* door() const { return door_.get(); }
@@ -75,6 +77,15 @@
     void on_probe(const std::string& uid, HostResult&& result);
     void on_list(const TargetList& list);
     http::status on_call(const MgmtCall& call);
+    void stand_by(bool on);
+    // Opens the doors, with what a former process has left.
+    void serve(Upgrade::Left&& left);
+    void leave(HandoverChannel& next);
+    void take_back();
+    void adopt(HandoverMessage&& connection);
+    void told(const HandoverMessage& fact);
+    void first_told();
+    void carry_out(silverreach::LeaveState& action);
     void ban(const std::string& uid, bool banned);
     using LiveAt = std::unordered_map<std::uint64_t, Live>::iterator;
     void finish(LiveAt live, Answer&& answer);
@@ -85,6 +96,9 @@
     void end_when_quiet();
 
     boost::asio::io_context& io_;
+    SocketBudget& budget_;
+    const std::size_t sockets_;  // of the budget, when no other process has a part of it
+    Config config_;
     Clock clock_;
     silverreach::Settings settings_;
     silverreach::Gateway gateway_;
@@ -106,6 +120,9 @@
     std::unique_ptr<Discovery> discovery_;
     std::unique_ptr<ClientServer> clients_;
     std::unique_ptr<MgmtDoor> door_;
+    std::unique_ptr<Upgrade> upgrade_;
+    std::string left_state_;  // as the module has left it
+    bool standby_ = false;
 };
 
 // "TEXT outstanding=7, backlog=2, utilization=0.61" to the module's report; what can't be read is left out.
--- a/src/node/socket_budget.h
+++ b/src/node/socket_budget.h
@@ -53,6 +53,11 @@
     }
     void on_freed(std::function<void()> freed) { freed_ = std::move(freed); }
     std::size_t most() const { return most_; }
+    // While two processes share the limit, each has a part of it.
+    void set_most(std::size_t sockets) {
+        most_ = sockets, most_of_one_ = sockets * 6 / 10;
+        if (freed_) freed_();
+    }
     std::size_t held(Side side) const { return held_[static_cast<std::size_t>(side)]; }
 
   private:
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -904,3 +904,50 @@
     b.pass(11s);
     EXPECT_GT(sent_to_a(400), 100);
 }
+
+TEST(Upgrade, TheNextProcessGoesOnWithWhatTheFormerOneLeaves) {
+    Bench former(one_gateway()), next(one_gateway());
+    // 4 units at once are the burst; half of it lies at the home's ledger at the start.
+    int sent = 0;
+    RequestId id = 1;
+    for (; id <= 10; ++id) {
+        for (const SendAttempt& a : of<SendAttempt>(former.ask(id))) {
+            ++sent;
+            former.end(id, a.host, Outcome::good, 5ms);
+        }
+    }
+    EXPECT_GT(sent, 0);
+    EXPECT_LT(sent, 10);
+    former.feed(HostBanned{"a", true});
+    const auto left = of<LeaveState>(former.feed(HandedOver{true}));
+    ASSERT_EQ(left.size(), 1u);
+    next.feed(StateLeft{left[0].bytes});
+    EXPECT_TRUE(of<SendAttempt>(next.ask(100)).empty());
+    EXPECT_EQ(of<Refuse>(former.ask(100)).size(), 1u);
+    next.pass(2s);
+    const auto out = of<SendAttempt>(next.ask(101));
+    ASSERT_EQ(out.size(), 1u);
+    EXPECT_EQ(out[0].host, "b");
+    // It goes on by itself if the next process ends, as after a start.
+    former.pass(2s);
+    EXPECT_EQ(of<Refuse>(former.ask(102)).size(), 1u);
+    former.feed(HandedOver{false});
+    EXPECT_EQ(of<SendAttempt>(former.ask(103)).size(), 1u);
+}
+
+TEST(Upgrade, AStateThatCantBeReadIsAStartFromNothing) {
+    Bench former(one_gateway());
+    former.ask(1);
+    const std::string state = of<LeaveState>(former.feed(HandedOver{true})).at(0).bytes;
+    for (std::size_t size = 0; size < state.size(); size += 7) {
+        Bench next(one_gateway());
+        next.feed(StateLeft{state.substr(0, size)});
+        next.pass(2s);
+        EXPECT_FALSE(of<SendAttempt>(next.ask(2)).empty() && of<Refuse>(next.ask(3)).empty());
+    }
+    Bench next(one_gateway());
+    std::string later = state;
+    later[0] = 99;
+    next.feed(StateLeft{later});
+    EXPECT_EQ(of<SendAttempt>(next.ask(2)).size(), 1u);
+}
--- /dev/null
+++ b/tests/node/upgrade_test.cpp
@@ -0,0 +1,199 @@
+// An upgrade: a second process on the addresses of one that serves.
+#include "program.h"
+
+namespace spartrack::test {
+namespace {
+
+struct UpgradeTest : ::testing::Test {
+    asio::io_context io;
+    std::filesystem::path shared = Program::make_folder();
+    Server host{io, [this](auto& p) { on_request(p, "h"); }};
+    Server other{io, [this](auto& p) { on_request(p, "g"); }};
+    std::function<void(Server::Peer&, const std::string&)> on_request = [](auto& p, const auto& name) {
+        p.ok(name);
+    };
+    Server agent{
+        io, [this](auto& p) {
+            if (p.request.target().find("from=") != std::string::npos) return;
+            const auto row = [](const std::string& uid, const Server& at) {
+                return R"({"uid":")" + uid + R"(","endpoint":")" + at.address() +
+                       R"(","az":"a","model":"m","state":"ready","capacity_hint":1,"boot_ms":0})";
+            };
+            p.ok(R"({"rev":1,"all":true,"targets":[)" + row("h", host) + "," + row("g", other) + "]}");
+        }};
+    const std::uint16_t listen = free_port(), peers = free_port(), first_door = free_port(),
+                        next_door = free_port();
+
+    void TearDown() override { std::filesystem::remove_all(shared); }
+    static std::uint16_t free_port() {
+        asio::io_context none;
+        return tcp::acceptor(none, any_port()).local_endpoint().port();
+    }
+    static tcp::endpoint at(std::uint16_t port) { return {asio::ip::address_v4::loopback(), port}; }
+    std::string config(std::uint16_t door) const {
+        const auto address = [](std::uint16_t port) { return "\"127.0.0.1:" + std::to_string(port) + "\""; };
+        return R"({"name":"n0","listen":)" + address(listen) + R"(,"mgmt":)" + address(door) +
+               R"(,"peer_listen":)" + address(peers) + R"(,"peers":[)" + address(peers) +
+               R"(],"discovery":")" + agent.address() +
+               R"(","settings":{"rank":0,"instances":1,"locality":"a","tickUs":4000,)"
+               R"("tiersOfService":[{"name":"basic","rate":0.01,"mostAtOnce":20,"worthFactor":1},)"
+               R"({"name":"wide","rate":10000,"mostAtOnce":10000,"worthFactor":1}],)"
+               R"("familyInfo":{"unitsTop":2,"mailPerS":40},)"
+               R"("requestClasses":[{"name":"read","effect":"retryable","deadlineUs":5000000,"value":1}],)"
+               R"("ceilings":{"maxAttempts":1,"peers":true,"retryAfter":true},)"
+               R"("guarantees":{"startCapacity":0.2,"coldUs":1000000,"fallUs":1000000}}})";
+    }
+    unsigned call(std::uint16_t door, const std::string& text) {
+        asio::io_context apart;
+        tcp::socket socket(apart);
+        error_code ec;
+        socket.connect(at(door), ec);
+        if (ec) return 0;
+        socket.close();
+        Client caller(io, at(door));
+        caller.say(text);
+        EXPECT_TRUE(run_until(io, [&] { return caller.ended(); }));
+        return caller.answers().empty() ? 0u : caller.answers()[0].result_int();
+    }
+    bool serves(std::uint16_t door) {
+        const auto give_up = std::chrono::steady_clock::now() + 20s;
+        while (call(door, "GET /status HTTP/1.1\r\nHost: x\r\n\r\n") != 200) {
+            if (std::chrono::steady_clock::now() > give_up) return false;
+            io.restart();
+            io.run_for(20ms);
+        }
+        return true;
+    }
+    static std::string post(const std::string& path, const std::string& body = {}) {
+        return "POST " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(body.size()) +
+               "\r\n\r\n" + body;
+    }
+    static std::string request(const std::string& id, const std::string& plan = "wide") {
+        return "GET /api HTTP/1.1\r\nHost: origin.svc\r\nX-Trace-Id: " + id +
+               "\r\nX-Qos: read\r\nX-Contract: " + plan + "\r\nX-Client-Id: 00000000b4d6552" +
+               (plan == "wide" ? "1" : "2") + "\r\nX-Expires-In-Ms: 4000\r\n" +
+               "X-Metering: units=1,spread=1,first=0\r\n\r\n";
+    }
+    // The status of the next answer on a connection; 0: it has ended without one.
+    unsigned ask(Client& client, const std::string& text) {
+        const std::size_t before = client.answers().size();
+        client.say(text);
+        EXPECT_TRUE(run_until(io, [&] { return client.answers().size() > before || client.ended(); }));
+        return client.answers().size() > before ? client.answers()[before].result_int() : 0;
+    }
+};
+
+TEST_F(UpgradeTest, KeptConnectionsGoOnAtTheNewProcess) {
+    Program first(config(first_door), shared);
+    ASSERT_TRUE(serves(first_door));
+    Client kept(io, at(listen)), busy(io, at(listen)), half(io, at(listen));
+    ASSERT_EQ(ask(kept, request("a")), 200u);
+    // One request is in hand over the change, and one is half sent.
+    std::shared_ptr<Server::Peer> held;
+    on_request = [&](auto& p, const auto&) { held = p.shared_from_this(); };
+    busy.say(request("b"));
+    ASSERT_TRUE(run_until(io, [&] { return held != nullptr; }));
+    on_request = [](auto& p, const auto& name) { p.ok(name); };
+    const std::string text = request("c");
+    half.say(text.substr(0, 40));
+    Program next(config(next_door), shared);
+    ASSERT_TRUE(serves(next_door));
+    first.signal(SIGTERM);
+    EXPECT_EQ(ask(kept, request("d")), 200u);
+    half.say(text.substr(40));
+    EXPECT_TRUE(run_until(io, [&] { return half.answers().size() == 1 || half.ended(); }));
+    EXPECT_EQ(half.answers().size(), 1u);
+    held->ok("late");
+    ASSERT_TRUE(run_until(io, [&] { return busy.answers().size() == 1 || busy.ended(); }));
+    ASSERT_EQ(busy.answers().size(), 1u);
+    EXPECT_EQ(busy.answers()[0].result_int(), 200u);
+    ASSERT_TRUE(run_until(io, [&] { return first.ended(); }));
+    EXPECT_EQ(first.exit_status(), 0);
+    EXPECT_EQ(ask(kept, request("e")), 200u);
+    EXPECT_EQ(ask(busy, request("f")), 200u);
+    Client fresh(io, at(listen));
+    EXPECT_EQ(ask(fresh, request("g")), 200u);
+}
+
+TEST_F(UpgradeTest, WhatAQuotaHasGivenIsNotGivenAgain) {
+    Program first(config(first_door), shared);
+    ASSERT_TRUE(serves(first_door));
+    Client client(io, at(listen));
+    int served = 0, n = 0;
+    while (n < 100 && ask(client, request("a" + std::to_string(n++), "basic")) == 200) ++served;
+    EXPECT_GT(served, 0);
+    EXPECT_LT(n, 100);
+    Program next(config(next_door), shared);
+    ASSERT_TRUE(serves(next_door));
+    EXPECT_EQ(ask(client, request("b", "basic")), 429u);
+    EXPECT_EQ(ask(client, request("c")), 200u);
+}
+
+TEST_F(UpgradeTest, BansAndStandbyHoldAcrossIt) {
+    Program first(config(first_door), shared);
+    ASSERT_TRUE(serves(first_door));
+    ASSERT_EQ(call(first_door, post("/maintenance/enter", "h")), 200u);
+    ASSERT_EQ(call(first_door, post("/standby")), 200u);
+    Program next(config(next_door), shared);
+    ASSERT_TRUE(serves(next_door));
+    for (int i = 0; i < 10; ++i) {
+        Client client(io, at(listen));
+        EXPECT_EQ(ask(client, request("a" + std::to_string(i))), 200u);
+        EXPECT_FALSE(client.answers().at(0).keep_alive());
+    }
+    EXPECT_EQ(host.requests.size(), 0u);
+    // What is called for at the old door holds at the new one.
+    EXPECT_EQ(call(first_door, post("/active")), 200u);
+    EXPECT_EQ(call(first_door, post("/maintenance/exit", "h")), 200u);
+    EXPECT_EQ(call(first_door, post("/maintenance/enter", "g")), 200u);
+    first.signal(SIGTERM);
+    ASSERT_TRUE(run_until(io, [&] { return first.ended(); }));
+    Client client(io, at(listen));
+    EXPECT_EQ(ask(client, "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n"), 200u);
+    const std::size_t before = other.requests.size();
+    for (int i = 0; i < 300 && host.requests.empty(); ++i) {
+        ask(client, request("b" + std::to_string(i)));
+        io.run_for(10ms);
+    }
+    EXPECT_GT(host.requests.size(), 0u);
+    EXPECT_EQ(other.requests.size(), before);
+}
+
+TEST_F(UpgradeTest, TheOldProcessGoesOnIfTheNewOneEnds) {
+    Program first(config(first_door), shared);
+    ASSERT_TRUE(serves(first_door));
+    {
+        Program next(config(next_door), shared);
+        ASSERT_TRUE(serves(next_door));
+        next.signal(SIGKILL);
+        ASSERT_TRUE(run_until(io, [&] { return next.ended(); }));
+    }
+    Client client(io, at(listen));
+    EXPECT_EQ(ask(client, request("a")), 200u);
+    Program third(config(next_door), shared);
+    ASSERT_TRUE(serves(next_door));
+    EXPECT_EQ(ask(client, request("b")), 200u);
+}
+
+TEST_F(UpgradeTest, ADeadProcessesPlaceAndASilentOneDoNoHarm) {
+    {
+        Program dead(config(first_door), shared);
+        ASSERT_TRUE(serves(first_door));
+        dead.signal(SIGKILL);
+        ASSERT_TRUE(run_until(io, [&] { return dead.ended(); }));
+    }
+    Program first(config(first_door), shared);
+    ASSERT_TRUE(serves(first_door));
+    first.signal(SIGSTOP);
+    const auto before = std::chrono::steady_clock::now();
+    Program next(config(next_door), shared);
+    EXPECT_TRUE(serves(next_door));
+    EXPECT_LT(std::chrono::steady_clock::now() - before, 6s);
+    first.signal(SIGKILL);
+    ASSERT_TRUE(run_until(io, [&] { return first.ended(); }));
+    Client client(io, at(listen));
+    EXPECT_EQ(ask(client, request("a")), 200u);
+}
+
+}  // namespace
+}  // namespace spartrack::test
