Pass long answers on in pieces, and take answers of every HTTP/1.1 form

Answers over 64 KiB, or without a length, were failures that may have run.

HEAD is taken for classes that are safe to repeat. An answer that no length bounds is whole when its connection ends in good order; a reset still is none. A client's time to take an answer goes by progress.

Way not taken: holding answers up to a larger limit.

The tests failed before: 500 for each long answer.

--- a/include/silverreach/interface.h
+++ b/include/silverreach/interface.h
@@ -125,6 +125,12 @@
     double true_units = 0;  // 0: not told
     LoadReport report;
 };
+// A long answer has begun to go to the client, which is its final answer; the attempt stays out until it
+// ends.
+struct AnswerBegun {
+    RequestId id = 0;
+    std::string host;
+};
 struct ProbeEnded {
     std::string host;
     Outcome outcome = Outcome::good;
@@ -151,8 +157,8 @@
     std::string bytes;
 };
 
-using Event = std::variant<HostsChanged, HostBanned, RequestArrived, AttemptEnded, ProbeEnded, ClientLeft,
-                           MessageArrived, TimerFired, HandedOver, StateLeft>;
+using Event = std::variant<HostsChanged, HostBanned, RequestArrived, AttemptEnded, AnswerBegun, ProbeEnded,
+                           ClientLeft, MessageArrived, TimerFired, HandedOver, StateLeft>;
 
 // ---- actions --------------------------------------------------------------------------------------------
 
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -814,6 +814,10 @@
         if (customer) fill_places(*customer);
         pump();
     }
+    void on(const AnswerBegun& e) {
+        if (const auto host = hosts_.find(e.host); host != hosts_.end()) host->second.last_answer = now_;
+        if (const auto found = requests_.find(e.id); found != requests_.end()) forget(found->second);
+    }
     double aim_s() const { return s_.classes.empty() ? 1 : seconds(s_.classes.front().aim); }
 
     // A further attempt, only from the retry budget and only if it can still be in time.
--- a/src/node/client_server.h
+++ b/src/node/client_server.h
@@ -29,8 +29,9 @@
   public:
     struct Callbacks {
         std::function<void(ClientRequest&&)> on_request;
-        std::function<void(std::uint64_t id)> on_left;  // the client closed before it had its answer
-        std::function<bool()> ready;                    // what /_health tells
+        std::function<void(std::uint64_t id)> on_left;        // the client closed before it had its answer
+        std::function<bool()> ready;                          // what /_health tells
+        std::function<void(std::uint64_t id)> on_taken = {};  // the last piece of a long answer has gone
     };
 
     // Takes a connection that is between requests, what has been read of its next one, and whether that is
@@ -51,6 +52,12 @@
     // The same for a request that should not have been sent: the next on its connection is heard after a
     // pause.
     void reject(std::uint64_t id, Answer&& answer);
+    // A final answer in pieces: the next one after `on_taken`, but for the last, which may come before it.
+    void begin_answer(std::uint64_t id, Answer&& first);
+    void go_on(std::uint64_t id, std::string&& piece);
+    void end_answer(std::uint64_t id, std::string&& last);
+    // No more comes of it: the connection ends so that the client can tell.
+    void break_answer(std::uint64_t id);
     // From now on /_health fails and answers end their connections; idle connections are closed.
     void drain();
     // Standby: the same for as long as it is on.
--- a/src/node/host_pool.cpp
+++ b/src/node/host_pool.cpp
@@ -14,7 +14,9 @@
 using namespace std::chrono_literals;
 
 namespace {
-constexpr std::size_t read_at_once = 4096;
+constexpr std::size_t read_at_once = 4096, read_of_long = 32 * 1024;
+// Neither side of a long exchange may stand still for longer than this.
+constexpr std::chrono::milliseconds stall_most = 10s;
 // Words on the way to an answer (1xx) that are heard out; a host that sends more never comes to it.
 constexpr int most_words_ahead = 8;
 // An idle connection ends this much before its host may end it: a request written in between would be lost.
@@ -51,6 +53,8 @@
     }
     bool unwritten() const { return state_ == State::connecting || state_ == State::writing; }
     std::string& out() { return out_; }
+    // Whether the answer has no body, whatever length it tells.
+    void expect_no_body(bool head) { head_ = head; }
 
     // Sends what stands in `out`, and calls back once.
     void begin(const AttemptKey* key, std::chrono::microseconds within) {
@@ -59,6 +63,7 @@
         since_ = Steady::now();
         deadline_ = since_ + within;
         words_ahead_ = 0;
+        begun_ = full_ = false;
         expect_answer();
         if (state_ == State::idle) {
             wait_until(deadline_);
@@ -80,6 +85,12 @@
         });
     }
     void cancel() { end(HostOutcome::cancelled); }
+    // The last piece has gone: more of the long answer can be taken.
+    void read_on() {
+        if (!std::exchange(full_, false) || state_ == State::closed) return;
+        wait_until(Steady::now() + stall_most);
+        read();
+    }
     void give_up_unwritten() { end(HostOutcome::connect_failed); }
 
     // Guards against answers that are not the next request's: what came behind the last one, and an end of
@@ -121,11 +132,12 @@
     }
 
   private:
-    using Parser = http::response_parser<http::string_body>;
+    using Parser = http::response_parser<PieceBody>;
     enum class State { fresh, connecting, writing, waiting, idle, closed };
 
     void wait_until(Steady::time_point when) {
         timer_.expires_at(when);
+        if (when == Steady::time_point::max()) return;
         timer_.async_wait([self = shared_from_this()](error_code stopped) {
             // A wait that was moved while its end was on the way here is not over.
             if (!stopped && self->timer_.expiry() <= Steady::now()) self->time_out();
@@ -158,7 +170,8 @@
         parser_.emplace();
         parser_->eager(false);  // the header is looked at before room for a body is set aside
         parser_->header_limit(most_header);
-        parser_->body_limit(most_body);
+        parser_->body_limit(most_long_body);
+        parser_->skip(head_);
     }
     // Waits first and reads then: a read that is done but not yet heard of would hide bytes from silent().
     void read() {
@@ -169,16 +182,56 @@
     }
     void take_in(error_code ec) {
         std::size_t n = 0;
-        if (!ec) n = socket_.read_some(unread_.prepare(read_at_once), ec);
+        if (!ec) n = socket_.read_some(unread_.prepare(begun_ ? read_of_long : read_at_once), ec);
         if (ec == asio::error::would_block || ec == asio::error::try_again) return read();
         if (state_ == State::idle) return drop_idle();  // an end, or bytes that nobody asked for
+        if (ec == asio::error::eof && state_ == State::waiting && ends_with_connection()) return finish();
         if (ec) return end(state_ == State::waiting ? HostOutcome::reset : HostOutcome::connect_failed);
         unread_.commit(n);
         const auto self = shared_from_this();
         // What can't be read is an answer all the same: the host is there and may have run the request.
         // Guards against hosts passed over as if they were down for a spoilt answer here and there.
         if (!parse()) return end(unwritten() ? HostOutcome::reset : HostOutcome::error);
-        if (state_ != State::closed) read();
+        if (state_ == State::closed || (parser_ && !pass_on())) return;
+        read();
+    }
+    // An answer that tells no length ends with its connection.
+    bool ends_with_connection() {
+        if (!parser_ || !parser_->is_header_done() || !parser_->need_eof()) return false;
+        error_code ec;
+        parser_->put_eof(ec);
+        return !ec;
+    }
+    // A served answer too long to be held goes on as it comes. False: nothing more is to be read now.
+    bool pass_on() {
+        if (state_ != State::waiting || !parser_->is_header_done() || !pool_.callbacks_.on_begun) return true;
+        std::string& body = parser_->get().body();
+        const auto length = parser_->content_length();
+        if (!begun_) {
+            if (parser_->get().result() != http::status::ok ||
+                (body.size() <= most_body && (!length || *length <= most_body)))
+                return true;
+            begun_ = true;
+            HostResult result;
+            result.outcome = HostOutcome::served;
+            result.took = took_ =
+                std::chrono::duration_cast<std::chrono::microseconds>(Steady::now() - since_);
+            result.answer.base() = parser_->get().base();
+            result.answer.body() = std::exchange(body, {});
+            full_ = true;
+            wait_until(Steady::time_point::max());  // it waits for the client now, whose own time runs
+            const auto self = shared_from_this();
+            if (!pool_.callbacks_.on_begun(key_, host_->uid, std::move(result))) return cancel(), false;
+            return false;
+        }
+        if (body.empty()) {
+            wait_until(Steady::now() + stall_most);
+            return true;
+        }
+        full_ = true;
+        wait_until(Steady::time_point::max());
+        pool_.callbacks_.on_piece(key_, std::exchange(body, {}));
+        return false;
     }
     // False for bytes that no sound answer begins with.
     bool parse() {
@@ -190,10 +243,9 @@
             if (ec == http::error::need_more) return true;
             if (ec) return false;
             const bool ahead = parser_->is_header_done() && parser_->get().result_int() / 100 == 1;
-            // Without a length, or with an unclear one, nothing tells whether a body came whole and what
-            // behind it is another's.
+            // With an unclear length nothing tells whether a body came whole and what behind it is another's.
             if (in_header && parser_->is_header_done() && !ahead &&
-                (parser_->need_eof() || !fits(*parser_) || !frames_clearly(parser_->get().base())))
+                (!fits(*parser_) || !frames_clearly(parser_->get().base())))
                 return false;
             parser_->eager(parser_->is_header_done());
             if (parser_->is_done()) {
@@ -212,7 +264,10 @@
 
     void finish() {
         HostResult result;
-        result.answer = parser_->release();
+        auto message = parser_->release();
+        const bool known_end = !message.need_eof();
+        result.answer.base() = std::move(message.base());
+        result.answer.body() = std::move(message.body());
         const auto& answer = result.answer;
         const auto load = answer["Endpoint-Load-Metrics"];
         result.load_report.assign(load.data(), load.size());
@@ -221,8 +276,9 @@
         result.outcome = status == 200 ? HostOutcome::served
                          : never_ran   ? HostOutcome::full
                                        : HostOutcome::error;
-        const bool again = state_ == State::waiting && answer.keep_alive() && unread_.size() == 0 &&
-                           silent() && host_->takes_new() && host_->endpoint == endpoint_;
+        const bool again = known_end && state_ == State::waiting && answer.keep_alive() &&
+                           unread_.size() == 0 && silent() && host_->takes_new() &&
+                           host_->endpoint == endpoint_;
         report(std::move(result), again);
     }
     void end(HostOutcome outcome) {
@@ -234,7 +290,7 @@
         const auto self = shared_from_this();
         pool_.busy_.erase(self);
         const auto now = Steady::now();
-        result.took = std::chrono::duration_cast<std::chrono::microseconds>(now - since_);
+        result.took = begun_ ? took_ : std::chrono::duration_cast<std::chrono::microseconds>(now - since_);
         parser_.reset();
         if (again) {
             state_ = State::idle;
@@ -267,7 +323,9 @@
     std::optional<Parser> parser_;
     std::string out_;
     AttemptKey key_;
-    bool is_probe_ = false;
+    bool is_probe_ = false, head_ = false;
+    bool begun_ = false, full_ = false;  // a long answer goes on; a piece of it waits to be taken
+    std::chrono::microseconds took_{0};  // until it began
     int words_ahead_ = 0;
     Steady::time_point since_, deadline_;  // the exchange began, or idleness
     State state_ = State::fresh;
@@ -367,6 +425,7 @@
     }
     message.set("X-Expires-In-Ms", std::to_string(std::max<std::int64_t>(
                                        1, std::chrono::floor<std::chrono::milliseconds>(within).count())));
+    connection->expect_no_body(message.method() == http::verb::head);
     serialize(message, connection->out());
     connection->begin(&key, within);
 }
@@ -378,15 +437,20 @@
         unsent.outcome = HostOutcome::connect_failed;
         return callbacks_.on_probe(uid, std::move(unsent));
     }
+    connection->expect_no_body(false);
     connection->out() = "GET /_load HTTP/1.1\r\nHost: " + uid + "\r\n\r\n";
     connection->begin(nullptr, connect_timeout_);
 }
 
-void HostPool::cancel(const AttemptKey& key) {
+std::shared_ptr<HostPool::Connection> HostPool::carrier_of(const AttemptKey& key) const {
     const auto it = std::find_if(busy_.begin(), busy_.end(), [&](const auto& c) { return c->carries(key); });
-    if (it == busy_.end()) return;
-    const auto connection = *it;
-    connection->cancel();
+    return it == busy_.end() ? nullptr : *it;
+}
+void HostPool::cancel(const AttemptKey& key) {
+    if (const auto connection = carrier_of(key)) connection->cancel();
+}
+void HostPool::read_on(const AttemptKey& key) {
+    if (const auto connection = carrier_of(key)) connection->read_on();
 }
 
 void HostPool::hand_over(const Pass& pass) {
--- a/src/node/host_pool.h
+++ b/src/node/host_pool.h
@@ -33,7 +33,7 @@
 struct HostResult {
     HostOutcome outcome = HostOutcome::error;
     std::chrono::microseconds took{0};
-    Answer answer;            // whole where served
+    Answer answer;            // whole where served; the last piece of a long one
     std::string load_report;  // as the host wrote it; empty: none
 };
 
@@ -43,10 +43,16 @@
         std::uint64_t request = 0;
         int attempt = 0;
     };
-    // Called once for each attempt and probe, at times before `attempt` or `probe` has returned.
+    // The first two are called once for each attempt and probe, at times before `attempt` or `probe` has
+    // returned.
     struct Callbacks {
         std::function<void(const AttemptKey&, const std::string& uid, HostResult&&)> on_attempt;
         std::function<void(const std::string& uid, HostResult&&)> on_probe;
+        // The begin of a long served answer, and further pieces of it; the last comes with `on_attempt`.
+        // After each the host is read on when `read_on` is called. False: nobody wants it, the attempt is
+        // cancelled.
+        std::function<bool(const AttemptKey&, const std::string& uid, HostResult&&)> on_begun = {};
+        std::function<void(const AttemptKey&, std::string&& piece)> on_piece = {};
     };
 
     HostPool(boost::asio::io_context& io, SocketBudget& budget, std::chrono::microseconds connect_timeout,
@@ -62,6 +68,7 @@
     void attempt(const AttemptKey& key, const std::string& uid, Request& message,
                  std::chrono::microseconds within);
     void cancel(const AttemptKey& key);
+    void read_on(const AttemptKey& key);
     void probe(const std::string& uid);
     // Idle connections, for another process and from one.
     using Pass =
@@ -76,6 +83,7 @@
     struct Host;
 
     void cut_unsent();
+    std::shared_ptr<Connection> carrier_of(const AttemptKey& key) const;
     std::shared_ptr<Connection> connection_to(const std::string& uid);
     bool close_one_idle();
     void sweep();
--- a/src/node/request_check.cpp
+++ b/src/node/request_check.cpp
@@ -62,7 +62,8 @@
     if (known_class == classes_.end()) return bad("X-Qos: expected a known class");
     into.request_class = known_class->second.index;
     // The method follows from the class; a safe one has no body, in which another request could hide.
-    if (message.method() != (known_class->second.safe ? http::verb::get : http::verb::post))
+    const bool safe = known_class->second.safe, head = safe && message.method() == http::verb::head;
+    if (!head && message.method() != (safe ? http::verb::get : http::verb::post))
         return {http::status::method_not_allowed, "method: expected the class's own"};
     if (known_class->second.safe && !message.body().empty()) return bad("body: expected none in this class");
     if (!plans_.empty()) {
--- a/src/node/runtime.cpp
+++ b/src/node/runtime.cpp
@@ -118,7 +118,13 @@
         HostPool::Callbacks{[this](const auto& key, const auto& uid, auto&& result) {
                                 on_attempt(key, uid, std::move(result));
                             },
-                            [this](const auto& uid, auto&& result) { on_probe(uid, std::move(result)); }});
+                            [this](const auto& uid, auto&& result) { on_probe(uid, std::move(result)); },
+                            [this](const auto& key, const auto& uid, auto&& result) {
+                                return on_begun(key, uid, std::move(result));
+                            },
+                            [this](const auto& key, std::string&& piece) {
+                                clients_->go_on(key.request, std::move(piece));
+                            }});
     TargetList known = config.known;
     known.whole = true;
     on_list(known);
@@ -167,7 +173,11 @@
         return std::make_unique<ClientServer>(
             io_, config_.listen, budget_, config_.memory_mb * mega / bodies_part,
             ClientServer::Callbacks{[this](ClientRequest&& request) { on_request(std::move(request)); },
-                                    [this](std::uint64_t id) { on_left(id); }, [this] { return ready(); }},
+                                    [this](std::uint64_t id) { on_left(id); }, [this] { return ready(); },
+                                    [this](std::uint64_t id) {
+                                        if (const auto it = live_.find(id); it != live_.end())
+                                            pool_->read_on({id, it->second.passing_on});
+                                    }},
             std::move(left.listener));
     });
     clients_->stand_by(standby_);
@@ -345,7 +355,9 @@
 
 void Runtime::on_left(std::uint64_t id) {
     const auto it = live_.find(id);
-    if (it == live_.end() || it->second.answered) return;
+    if (it == live_.end()) return;
+    if (it->second.passing_on >= 0) return pool_->cancel({id, it->second.passing_on});
+    if (it->second.answered) return;
     close(it);
     feed(sr::ClientLeft{id});
 }
@@ -358,6 +370,12 @@
     Live& live = it->second;
     --live.out;
     const bool serves = result.outcome == HostOutcome::served && !live.answered;
+    if (live.passing_on == key.attempt) {
+        live.passing_on = -1;
+        if (result.outcome == HostOutcome::served)
+            clients_->end_answer(key.request, std::move(result.answer.body()));
+        else clients_->break_answer(key.request);
+    }
     sr::AttemptEnded event{
         key.request, key.attempt, uid, outcome_of(result.outcome), result.took, live.answered || serves,
         0,           {}};
@@ -367,6 +385,17 @@
     feed(std::move(event));
 }
 
+// From here on the client owns the attempt: its time is over when the host or the client is done with it.
+bool Runtime::on_begun(const HostPool::AttemptKey& key, const std::string& uid, HostResult&& result) {
+    const auto it = live_.find(key.request);
+    if (it == live_.end() || it->second.answered) return false;
+    it->second.passing_on = key.attempt;
+    close(it);
+    feed(sr::AnswerBegun{key.request, uid});
+    clients_->begin_answer(key.request, std::move(result.answer));
+    return true;
+}
+
 void Runtime::on_probe(const std::string& uid, HostResult&& result) {
     sr::ProbeEnded event{uid, outcome_of(result.outcome), result.took, {}};
     if (result.outcome == HostOutcome::served)
--- a/src/node/runtime.h
+++ b/src/node/runtime.h
@@ -53,6 +53,7 @@
         Micros deadline{0};
         int attempts = 0, out = 0;
         bool answered = false;
+        int passing_on = -1;  // the attempt whose long answer goes to the client
     };
     struct Wait {
         Micros when;
@@ -74,6 +75,7 @@
     void on_request(ClientRequest&& request);
     void on_left(std::uint64_t id);
     void on_attempt(const HostPool::AttemptKey& key, const std::string& uid, HostResult&& result);
+    bool on_begun(const HostPool::AttemptKey& key, const std::string& uid, HostResult&& result);
     void on_probe(const std::string& uid, HostResult&& result);
     void on_list(const TargetList& list);
     http::status on_call(const MgmtCall& call);
