Ask discovery less and less while it has no room, and hold watches longer among many

Symptom: gateways never hear of a release; their lists stay as at the start.

Evidence, logged in the program: watches took longer than 1.4 s and were given up; each gateway then asked for the whole list ten times a second and was turned away with 503, 17147 calls in 30 s.

Cause: a fixed pause after failures, the dearest call of all as the next one, and holds that make 48 calls a second even when all goes well.

Mend: more than 6 gateways hold watches up to 3 s and wait 1.5 s beyond that; pauses double with chance in them; after a 503 or silence only what is newer is asked for. Few gateways keep their pace.

Way not taken: honouring no news for longer, since news counts as told.

--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -1,5 +1,6 @@
 #include "discovery.h"
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <cstdio>
 
@@ -10,14 +11,32 @@
 
 namespace {
 // What discovery has to tell counts as told some seconds on, whether it came or not: a watch that a silent
-// agent lets hang must end well before, so holds are short and patience beyond them is little.
-constexpr auto hold = 1000ms, patience = 400ms;
-constexpr auto ask_again = 100ms;  // after a failure; a watch goes on if asked within 200 ms
+// agent lets hang must end well before, so holds are short and patience beyond them is little. More gateways
+// than this hold longer, as their calls together would be more than discovery serves.
+constexpr int few_gateways = 6;
+constexpr auto hold_most = 3000ms, patience_of_many = 1500ms, pause_most_of_many = 2000ms;
 constexpr std::size_t most_list = 1024 * 1024;
 }  // namespace
 
-Discovery::Discovery(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& agent, OnList on_list)
-    : agent_(agent), on_list_(std::move(on_list)), stream_(io), pause_(io) {
+WatchPace Discovery::pace_among(int gateways) {
+    WatchPace pace;
+    if (gateways <= few_gateways) return pace;
+    pace.hold = std::min<std::chrono::milliseconds>(hold_most, 1000ms * gateways / few_gateways);
+    pace.patience = patience_of_many;
+    pace.pause_first = std::max<std::chrono::milliseconds>(pace.pause_first, 10ms * gateways);
+    pace.pause_most = pause_most_of_many;
+    return pace;
+}
+
+Discovery::Discovery(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& agent, OnList on_list,
+                     WatchPace pace, std::uint64_t seed)
+    : agent_(agent),
+      on_list_(std::move(on_list)),
+      pace_(pace),
+      random_(static_cast<std::uint32_t>(seed ^ seed >> 32)),
+      pause_next_(pace.pause_first),
+      stream_(io),
+      pause_(io) {
     ask();
 }
 void Discovery::stop() {
@@ -30,16 +49,17 @@
     if (stopped_ || agent == agent_) return;
     agent_ = agent;
     failing_ = false;
+    pause_next_ = pace_.pause_first;
     start_over();
+    version_.reset();
     pause_.cancel();
     // Guards against two operations on one stream: one that the close has ended asks when its handler comes.
     if (!under_way_) ask();
 }
-// Forgets the connection and the version; handlers that are still under way find their generation gone.
+// Forgets the connection; handlers that are still under way find their generation gone.
 void Discovery::start_over() {
     ++generation_;
     connected_ = false;
-    version_.reset();
     buffer_.consume(buffer_.size());
     stream_.close();
 }
@@ -55,7 +75,7 @@
 
 void Discovery::ask() {
     if (stopped_) return;
-    stream_.expires_after(patience);
+    stream_.expires_after(pace_.patience);
     if (connected_) return send();
     under_way_ = true;
     stream_.async_connect(agent_, [this, at = generation_](error_code ec) {
@@ -70,9 +90,9 @@
 void Discovery::send() {
     request_ = "GET /catalog/members";
     if (version_)
-        request_ += "?from=" + std::to_string(*version_) + "&hold_ms=" + std::to_string(hold.count());
+        request_ += "?from=" + std::to_string(*version_) + "&hold_ms=" + std::to_string(pace_.hold.count());
     request_ += " HTTP/1.1\r\nHost: discovery\r\n\r\n";
-    stream_.expires_after(version_ ? hold + patience : patience);
+    stream_.expires_after(version_ ? pace_.hold + pace_.patience : pace_.patience);
     under_way_ = true;
     boost::asio::async_write(stream_, boost::asio::buffer(request_),
                              [this, at = generation_](error_code ec, std::size_t) {
@@ -89,9 +109,11 @@
     under_way_ = true;
     http::async_read(stream_, buffer_, *parser_, [this, at = generation_](error_code ec, std::size_t) {
         if (!goes_on(at)) return;
-        if (ec) return ask_anew(ec == beast::error::timeout ? "is silent" : "broke off");
+        if (ec)
+            return ask_anew(ec == beast::error::timeout ? "is silent" : "broke off",
+                            ec == beast::error::timeout);
         const auto answer = parser_->release();
-        if (answer.result() != http::status::ok) return ask_anew("answers no list");
+        if (answer.result() != http::status::ok) return ask_anew("answers no list", true);
         const bool keep = answer.keep_alive();
         if (!keep) {
             connected_ = false;
@@ -112,17 +134,23 @@
         return ask_anew(error.what());
     }
     failing_ = false;
+    pause_next_ = pace_.pause_first;
     version_ = list.version;
     on_list_(list);
     ask();
 }
 
-// Only the first failure of a row is logged. After one the whole list is asked for, so that nothing is
-// missed.
-void Discovery::ask_anew(const char* what) {
+// Only the first failure of a row is logged. After one that may have cost news the whole list is asked for.
+void Discovery::ask_anew(const char* what, bool from_here) {
     if (!std::exchange(failing_, true)) std::fprintf(stderr, "discovery: %s\n", what);
     start_over();
-    pause_.expires_after(ask_again);
+    if (!from_here) version_.reset();
+    // Half of it by chance, so that those turned away together do not come again together.
+    const auto half = std::chrono::duration_cast<std::chrono::microseconds>(pause_next_) / 2;
+    const bool steady = pace_.pause_first == pace_.pause_most;
+    const auto by_chance = half * static_cast<int>(random_() % 1024) / 512;
+    pause_.expires_after(steady ? 2 * half : half + by_chance);
+    pause_next_ = std::min(pace_.pause_most, pause_next_ * 2);
     pause_.async_wait([this, at = generation_](error_code stopped) {
         if (!stopped && at == generation_) ask();
     });
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -6,8 +6,11 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <chrono>
+#include <cstdint>
 #include <functional>
 #include <optional>
+#include <random>
 #include <string>
 
 #include "http.h"
@@ -15,13 +18,23 @@
 
 namespace spartrack {
 
+// How long a watch is held, how long beyond that an answer may take, and how long after a failure the next
+// call waits: twice as long with each further one in a row, `pause_most` at most, and not all at once.
+struct WatchPace {
+    std::chrono::milliseconds hold{1000}, patience{400}, pause_first{100}, pause_most{100};
+};
+
 // Asks for the whole list first, then for what is newer than the last answer, again and again. An agent that
-// is silent or broken is asked anew on a fresh connection.
+// is silent or broken is asked anew on a fresh connection: for the whole list, unless it has only had no room
+// or no time, when what is newer will do and costs discovery less.
 class Discovery {
   public:
     using OnList = std::function<void(const TargetList&)>;
+    // Many gateways wear discovery out with calls that it turns away or that are given up before their turn.
+    static WatchPace pace_among(int gateways);
 
-    Discovery(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& agent, OnList on_list);
+    Discovery(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& agent, OnList on_list,
+              WatchPace pace = {}, std::uint64_t seed = 1);
     // Asks another agent from now on, first for its whole list: its versions tell nothing of the former
     // one's.
     void move_to(const boost::asio::ip::tcp::endpoint& agent);
@@ -32,12 +45,15 @@
     void send();
     void receive();
     void take(const std::string& body);
-    void ask_anew(const char* what);
+    void ask_anew(const char* what, bool from_here = false);
     void start_over();
     bool goes_on(std::size_t generation);
 
     boost::asio::ip::tcp::endpoint agent_;
     OnList on_list_;
+    WatchPace pace_;
+    std::minstd_rand random_;
+    std::chrono::milliseconds pause_next_;
     boost::beast::tcp_stream stream_;
     boost::asio::steady_timer pause_;
     boost::beast::flat_buffer buffer_;
--- a/src/node/runtime.cpp
+++ b/src/node/runtime.cpp
@@ -137,10 +137,12 @@
     told_timer_.async_wait([this](error_code stopped) {
         if (!stopped) first_told();
     });
-    discovery_ = std::make_unique<Discovery>(io, config.discovery, [this](const TargetList& list) {
+    const auto on_told = [this](const TargetList& list) {
         on_list(list);
         first_told();
-    });
+    };
+    discovery_ = std::make_unique<Discovery>(io, config.discovery, on_told,
+                                             Discovery::pace_among(settings_.instances), config.seed);
     upgrade_ = std::make_unique<Upgrade>(
         io, HandoverPlace(io, config.handover_folder, handover_name(config)),
         Upgrade::Callbacks{[this](Upgrade::Left&& left) { serve(std::move(left)); }, [this] { serve({}); },
--- a/tests/node/watch_test.cpp
+++ b/tests/node/watch_test.cpp
@@ -75,6 +75,26 @@
     EXPECT_EQ(lists[0].version, 5);
 }
 
+// Found on day 5 of the full score: 48 gateways asked for whole lists ten times a second, and none heard a
+// thing.
+TEST(Discovery, AmongManyOneThatHasNoRoomIsAskedLessAndLessForWhatIsNewer) {
+    asio::io_context io;
+    std::vector<std::chrono::steady_clock::time_point> at;
+    Server agent(io, [&](auto& p) {
+        at.push_back(std::chrono::steady_clock::now());
+        if (at.size() == 1) p.ok(list(7, true, "ready"));
+        else if (at.size() < 5) p.say("HTTP/1.1 503 X\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+    });
+    Discovery watch(
+        io, agent.endpoint(), [](const TargetList&) {}, {100ms, 400ms, 40ms, 160ms}, 5);
+    ASSERT_TRUE(run_until(io, [&] { return at.size() == 5; }));
+    for (std::size_t i = 1; i < 5; ++i) EXPECT_EQ(agent.targets[i].substr(0, 24), "/catalog/members?from=7&");
+    EXPECT_GE(at[2] - at[1], 20ms);
+    EXPECT_GE(at[3] - at[2], 40ms);
+    EXPECT_GE(at[4] - at[3], 80ms);
+    EXPECT_GT(Discovery::pace_among(48).hold, Discovery::pace_among(4).hold);
+}
+
 TEST(PeerLink, KnowsSendersByAddressAndDropsOthers) {
     asio::io_context io;
     using Udp = asio::ip::udp;
