Earn probes by requests, over all gateways of the fleet

Evidence, counted in the module: 36096 probes for 10019 tries, 1.3 for each while all is calm and 5 to 10 in the shortage that follows a release.

Cause: a gateway of many sees few of a host's answers, so that it probes a pair for every request, and again each 100 ms while one waits. What a probe costs the hosts is the same however many gateways share the traffic.

Mend: a request earns 12 probes over the number of gateways, 4 are saved up; without them the own estimate chooses, within the limits. With 3 or 4 gateways nothing changes.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -63,6 +63,8 @@
 constexpr double window_least = 0.2,
                  window_slack = 2;  // deviations of own attempts out that pass; they even out in sum
 constexpr int probe_rounds = 2;     // pairs of hosts probed for one request
+constexpr double probes_of_fleet = 12,
+                 probes_kept = 4;  // earned by a request, over all gateways; saved up at most
 
 enum class TimerKind : std::uint64_t {
     deadline,
@@ -435,6 +437,7 @@
         q.latest_start = now_ + micros(left - margin);
         const double k = q.ask.units;
         c.own.add(k, now_, use_memory_s);
+        probes_ = std::min(probes_kept, probes_ + probes_of_fleet / s_.instances);
         ++c.requests;
         Request& kept = requests_.emplace(r.id, std::move(q)).first->second;
         timer(r.time_left - 2 * s_.tick, r.id, TimerKind::deadline);
@@ -606,6 +609,13 @@
         if (q.pair.empty()) return false;
         if (known(*q.pair.front())) return send_to(q, *q.pair.front()), true;
         if (q.rounds >= probe_rounds || !window_open()) return q.rounds = probe_rounds, false;
+        // Hosts bear the probes of all gateways. Guards against many that see little each and probe for every
+        // request, those that wait again and again; harms by a choice on the own estimate alone.
+        if (probes_ < static_cast<double>(q.pair.size())) {
+            Host& h = *q.pair.front();
+            return held(h) < limit(h) && (send_to(q, h), true);
+        }
+        probes_ -= static_cast<double>(q.pair.size());
         ++q.rounds;
         q.waiting = false, q.probing = true;
         q.probes_out = static_cast<int>(q.pair.size());
@@ -1214,6 +1224,7 @@
     std::vector<Host*> order_;  // all hosts, in this gateway's own order
     std::size_t warm_ = 0;
     Fading work_out_, retry_earned_, retry_spent_;
+    double probes_ = probes_kept;  // that may be sent
     double answer_s_ = 0, slow_share_ = 0, mean_units_ = 1, warm_rate_ = 0, limit_ = limit_least;
     bool pressed_ = false, handed_ = false;
     std::vector<std::pair<Customer*, int>> inherited_;  // attempts of the former process
