--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -200,12 +200,14 @@
             b.feed(MessageArrived{1 - s.rank, pack({PartAsk{nonce, name_hash("c"), 0, 2, 0, 0, 4, 0}})});
             const auto out = b.ask(id, 1, 2s, 0, 0, "c", 2);
             sent += of<SendAttempt>(out).size();
-            for (const SendMessage& m : of<SendMessage>(out))
-                for (const PeerMessage& message : *unpack(m.bytes))
+            for (const SendMessage& m : of<SendMessage>(out)) {
+                const auto messages = unpack(m.bytes);
+                for (const PeerMessage& message : *messages)
                     if (const auto* asked = std::get_if<PartAsk>(&message))
                         sent += of<SendAttempt>(b.feed(MessageArrived{
                                                     m.to, pack({PartGiven{asked->nonce, 1, 0, 0, 100}})}))
                                     .size();
+            }
         }
     }
     EXPECT_GE(sent, 2u);
