End what has not gone out to a host when its request is over

Cause: Runtime::close marked the request as answered and kept its id while attempts were out, but left the pool's connections alone. One still in State::connecting wrote its request whenever it came up: after the other copy's answer, after the deadline's refusal, after the client had left. HostPool::cut_unsent did this for hosts that drain; nothing did it for requests that are over.

Checked and ruled out: a further SendAttempt after the answer (carry_out gives it back as moot) and the module's own events (it forgets the request with its end).

Now the pool withdraws what is unwritten (it ends as moot: it says nothing of the host). The module hears of the event that ended the request before it hears of what that ends, as it did for lists and bans already.

Both tests leave a connection under way and fail without this.

--- a/src/node/host_pool.cpp
+++ b/src/node/host_pool.cpp
@@ -52,6 +52,7 @@
         return !is_probe_ && key.request == key_.request && key.attempt == key_.attempt;
     }
     bool unwritten() const { return state_ == State::connecting || state_ == State::writing; }
+    bool belongs_to(std::uint64_t request) const { return !is_probe_ && request == key_.request; }
     std::string& out() { return out_; }
     // Whether the answer has no body, whatever length it tells.
     void expect_no_body(bool head) { head_ = head; }
@@ -91,7 +92,9 @@
         wait_until(Steady::now() + stall_most);
         read();
     }
-    void give_up_unwritten() { end(HostOutcome::connect_failed); }
+    void end_unwritten(HostOutcome outcome) {
+        if (unwritten()) end(outcome);
+    }
 
     // Guards against answers that are not the next request's: what came behind the last one, and an end of
     // the connection, may be here though no handler has run yet.
@@ -381,16 +384,24 @@
 // Guards against a send to a host after word that it drains: a connect under way would write its request
 // whenever it comes up.
 void HostPool::cut_unsent() {
-    std::vector<std::shared_ptr<Connection>> unsent;
-    for (const auto& connection : busy_)
-        if (connection->unwritten() && !connection->host()->takes_new()) unsent.push_back(connection);
     for (const auto& [uid, host] : hosts_)
         std::erase_if(host->idle, [&host = *host](const auto& connection) {
             const bool stays = host.takes_new() && connection->endpoint() == host.endpoint;
             if (!stays) connection->close();
             return !stays;
         });
-    for (const auto& connection : unsent) connection->give_up_unwritten();
+    end_unwritten(HostOutcome::connect_failed, [](const Connection& c) { return !c.host()->takes_new(); });
+}
+void HostPool::withdraw(std::uint64_t request) {
+    end_unwritten(HostOutcome::withdrawn, [request](const Connection& c) { return c.belongs_to(request); });
+}
+// What one end brings about may end others of them.
+template <class Which>
+void HostPool::end_unwritten(HostOutcome outcome, Which which) {
+    std::vector<std::shared_ptr<Connection>> unsent;
+    for (const auto& connection : busy_)
+        if (connection->unwritten() && which(*connection)) unsent.push_back(connection);
+    for (const auto& connection : unsent) connection->end_unwritten(outcome);
 }
 
 // The idle connection used last, else a new one; nothing where the host takes nothing new or no socket is
--- a/src/node/host_pool.h
+++ b/src/node/host_pool.h
@@ -28,6 +28,7 @@
     reset,           // broke after that
     timeout,
     cancelled,
+    withdrawn,  // before its last byte was written: never ran
 };
 
 struct HostResult {
@@ -68,6 +69,8 @@
     void attempt(const AttemptKey& key, const std::string& uid, Request& message,
                  std::chrono::microseconds within);
     void cancel(const AttemptKey& key);
+    // Ends what has not been written yet of that request's attempts.
+    void withdraw(std::uint64_t request);
     void read_on(const AttemptKey& key);
     void probe(const std::string& uid);
     // Idle connections, for another process and from one.
@@ -83,6 +86,8 @@
     struct Host;
 
     void cut_unsent();
+    template <class Which>
+    void end_unwritten(HostOutcome outcome, Which which);
     std::shared_ptr<Connection> carrier_of(const AttemptKey& key) const;
     std::shared_ptr<Connection> connection_to(const std::string& uid);
     bool close_one_idle();
--- a/src/node/runtime.cpp
+++ b/src/node/runtime.cpp
@@ -57,6 +57,8 @@
             return sr::Outcome::timeout;
         case HostOutcome::cancelled:
             return sr::Outcome::cancelled;
+        case HostOutcome::withdrawn:
+            return sr::Outcome::moot;
     }
     return sr::Outcome::error;
 }
@@ -254,6 +256,14 @@
     events_.push_back(std::move(event));
     if (!handling_) handle_all();
 }
+template <class Consequence>
+void Runtime::feed_before(sr::Event&& event, Consequence consequence) {
+    events_.push_back(std::move(event));
+    const bool within = std::exchange(handling_, true);
+    consequence();
+    handling_ = within;
+    if (!handling_) handle_all();
+}
 void Runtime::handle_all() {
     handling_ = true;
     while (!events_.empty()) {
@@ -316,12 +326,19 @@
     clients_->answer(id, std::move(answer));
 }
 // It has its final answer, or needs none. With attempts out only its id is kept, which must not come again
-// while it may still be heard of at a host.
+// while it may still be heard of at a host. Guards against a connection that comes up late and would carry
+// the request to a host after its end.
 void Runtime::close(LiveAt live) {
+    const std::uint64_t id = live->first;
     live->second.answered = true;
     live->second.message = {};
     live->second.room.give_back();
-    if (live->second.out > 0) return;
+    if (live->second.out > 0) pool_->withdraw(id);
+    drop_if_over(id);
+}
+void Runtime::drop_if_over(std::uint64_t id) {
+    const auto live = live_.find(id);
+    if (live == live_.end() || !live->second.answered || live->second.out > 0) return;
     open_ids_.erase(live->second.trace);
     live_.erase(live);
 }
@@ -360,8 +377,7 @@
     if (it == live_.end()) return;
     if (it->second.passing_on >= 0) return pool_->cancel({id, it->second.passing_on});
     if (it->second.answered) return;
-    close(it);
-    feed(sr::ClientLeft{id});
+    feed_before(sr::ClientLeft{id}, [&] { close(it); });
 }
 
 // ---- hosts ----
@@ -382,9 +398,10 @@
         key.request, key.attempt, uid, outcome_of(result.outcome), result.took, live.answered || serves,
         0,           {}};
     if (!result.load_report.empty()) event.report = read_load_report(result.load_report);
-    if (serves) finish(it, std::move(result.answer));
-    else if (live.answered) close(it);
-    feed(std::move(event));
+    feed_before(std::move(event), [&] {
+        if (serves) finish(it, std::move(result.answer));
+        else drop_if_over(key.request);
+    });
 }
 
 // From here on the client owns the attempt: its time is over when the host or the client is done with it.
@@ -392,8 +409,7 @@
     const auto it = live_.find(key.request);
     if (it == live_.end() || it->second.answered) return false;
     it->second.passing_on = key.attempt;
-    close(it);
-    feed(sr::AnswerBegun{key.request, uid});
+    feed_before(sr::AnswerBegun{key.request, uid}, [&] { close(it); });
     clients_->begin_answer(key.request, std::move(result.answer));
     return true;
 }
@@ -421,11 +437,7 @@
     hosts_ready_ = !ready_hosts_.empty();
     // The module hears of the change before what the change itself ends, and the pool knows the hosts by
     // then.
-    events_.push_back(std::move(event));
-    const bool within = std::exchange(handling_, true);
-    pool_->update(list);
-    handling_ = within;
-    if (!handling_) handle_all();
+    feed_before(std::move(event), [&] { pool_->update(list); });
 }
 
 // ---- operators ----
@@ -456,11 +468,7 @@
 }
 // The module hears of it first, as of a change of the list.
 void Runtime::ban(const std::string& uid, bool banned) {
-    events_.push_back(sr::HostBanned{uid, banned});
-    const bool within = std::exchange(handling_, true);
-    pool_->ban(uid, banned);
-    handling_ = within;
-    if (!handling_) handle_all();
+    feed_before(sr::HostBanned{uid, banned}, [&] { pool_->ban(uid, banned); });
 }
 
 // ---- time ----
--- a/src/node/runtime.h
+++ b/src/node/runtime.h
@@ -63,6 +63,9 @@
     };
 
     void feed(silverreach::Event&& event);
+    // The module hears of the event before it hears of what `consequence` ends.
+    template <class Consequence>
+    void feed_before(silverreach::Event&& event, Consequence consequence);
     void handle_all();
     void carry_out(silverreach::SendAttempt& action);
     void carry_out(silverreach::Refuse& action);
@@ -92,6 +95,7 @@
     using LiveAt = std::unordered_map<std::uint64_t, Live>::iterator;
     void finish(LiveAt live, Answer&& answer);
     void close(LiveAt live);
+    void drop_if_over(std::uint64_t id);
     void wait(Wait wait);
     void arm();
     void on_time();
--- a/tests/node/gateway_test.cpp
+++ b/tests/node/gateway_test.cpp
@@ -33,6 +33,7 @@
                  }};
     std::string plan = R"({"name":"basic","rate":1000,"mostAtOnce":1000,"worthFactor":1})";
     std::string extra;  // further keys of the configuration
+    std::string may;    // further keys of the settings' limits
     std::optional<Runtime> made;
 
     void SetUp() override { listed = whole(1, target("h", host.address())); }
@@ -45,7 +46,8 @@
                 std::to_string(deadline_ms) +
                 R"(000,"value":1},{"name":"book","effect":"fragile","deadlineUs":)" +
                 std::to_string(deadline_ms) +
-                R"(000,"value":1}],"ceilings":{"maxAttempts":4,"retryAfter":true},)"
+                R"(000,"value":1}],"ceilings":{)" + may +
+                R"("maxAttempts":4,"retryAfter":true},)"
                 R"("guarantees":{"startCapacity":0.2,"coldUs":1000000,"fallUs":1000000}}})",
             [](const char*) { return nullptr; });
     }
@@ -310,6 +312,45 @@
     EXPECT_EQ(client.answers()[0].body(), "next");
 }
 
+// Found on the narrow days: a third of the connections came up late, some after the request's end, and carried
+// it to a host all the same.
+TEST_F(GatewayTest, AnAttemptThatHasNotGoneOutEndsWithItsClient) {
+    NeverUp late(io);
+    listed = whole(1, target("n", "127.0.0.1:" + std::to_string(late.endpoint().port())));
+    may = R"("connectTimeoutUs":14000000,)";
+    ASSERT_TRUE(up());
+    Client client(io, address());
+    client.say(request("a"));
+    ASSERT_TRUE(run_until(io, [&] { return budget->held(SocketBudget::Side::host) == 1; }));
+    client.close();
+    ASSERT_TRUE(run_until(io, [&] { return budget->held(SocketBudget::Side::client) == 0; }));
+    EXPECT_EQ(budget->held(SocketBudget::Side::host), 0u);
+}
+
+TEST_F(GatewayTest, ASecondCopyThatHasNotGoneOutEndsWithTheFirstOnesAnswer) {
+    NeverUp late(io);
+    deadline_ms = 4000;
+    may = R"("connectTimeoutUs":14000000,"mayDuplicate":true,)";
+    ASSERT_TRUE(up());
+    Client client(io, address());
+    std::size_t asked = 0;
+    for (; asked < 5; ++asked) {
+        client.say(request(std::string("r").append(std::to_string(asked))));
+        ASSERT_TRUE(answered(client, asked + 1));
+    }
+    on_request = [](auto&) {};
+    client.say(request("slow"));
+    ASSERT_TRUE(run_until(io, [&] { return host.requests.size() == asked + 1; }));
+    listed = whole(2, target("h", host.address()) + "," +
+                          target("n", "127.0.0.1:" + std::to_string(late.endpoint().port())));
+    for (const auto& peer : agent.peers) peer->close();
+    ASSERT_TRUE(run_until(io, [&] { return budget->held(SocketBudget::Side::host) == 2; }));
+    host.peers[0]->ok("first");
+    ASSERT_TRUE(answered(client, asked + 1));
+    EXPECT_EQ(client.answers().back().body(), "first");
+    EXPECT_EQ(budget->held(SocketBudget::Side::host), 1u);  // the kept connection
+}
+
 TEST_F(GatewayTest, ABrokenHostIsMadeUpForByAnother) {
     Server broken(io, [](auto& p) { p.reset(); });
     listed = whole(1, target("b", broken.address()) + "," + target("h", host.address()));
