Open a silent watch anew at once, and ask an agent that has pushed lists without pauses

With 300 gateways Discovery::pace_among made the first pause 3 s, above its own most of 2 s: after a silent watch (4.5 s until it is noticed) 1.5 to 3 s passed before the next ask, up to 7.5 s in all where what the watch misses counts as told after 6 s. In each further round up to 2 s passed with no call open, while what the agent has at its return counts as told at once and a drain allows 250 ms.

Ruled out: the time an answer takes (1 ms in every trace) and moves of discovery (the new agent answers within 3 ms of SIGHUP, and its revisions go on from the former's).

Pushed: holds of 1 s, 100 ms of patience, silence is wait enough, and while it lasts calls hold for nothing, so that the return shows at once. Asked for: as before, but the first call after a silent watch goes out at once, and the first pause is no longer than the most.

--- a/src/node/config.cpp
+++ b/src/node/config.cpp
@@ -65,6 +65,8 @@
     if (auto known = json::optional_key(o, "known")) c.known = read_targets(json::as_object(*known, "known"));
     const json::object settings = json::as_object(json::required(o, "settings"), "settings");
     c.settings = json::read_settings(settings);
+    if (auto mode = json::optional_key(settings, "membershipMode"))
+        c.lists_pushed = json::as_text(*mode, "membershipMode") != "subscribe";
     const json::object limits = json::as_object(json::required(settings, "ceilings"), "ceilings");
     json::read(limits, "connectTimeoutUs", c.connect_timeout);
     json::read(limits, "connIdleUs", c.idle_limit);
--- a/src/node/config.h
+++ b/src/node/config.h
@@ -27,6 +27,7 @@
     std::size_t sockets = 1024;   // file descriptors that the process may hold
     std::size_t memory_mb = 192;  // over which the process is killed
     TargetList known;
+    bool lists_pushed = true;  // else they are asked for, and that costs
     silverreach::Settings settings;
     // Of the settings, what concerns connections only.
     std::chrono::microseconds connect_timeout{std::chrono::milliseconds(250)};
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -15,15 +15,20 @@
 // than this hold longer, as their calls together would be more than discovery serves.
 constexpr int few_gateways = 6;
 constexpr auto hold_most = 3000ms, patience_of_many = 1500ms, pause_most_of_many = 2000ms;
+// Of an agent that answers at once: it is silent after this, and a connection to it is tried again after
+// that.
+constexpr auto prompt = 100ms, reconnect_first = 5ms, reconnect_most = 80ms;
 constexpr std::size_t most_list = 1024 * 1024;
 }  // namespace
 
-WatchPace Discovery::pace_among(int gateways) {
+WatchPace Discovery::pace_among(int gateways, bool pushed) {
     WatchPace pace;
+    if (pushed) return {pace.hold, prompt, reconnect_first, reconnect_most, true};
     if (gateways <= few_gateways) return pace;
     pace.hold = std::min<std::chrono::milliseconds>(hold_most, 1000ms * gateways / few_gateways);
     pace.patience = patience_of_many;
-    pace.pause_first = std::max<std::chrono::milliseconds>(pace.pause_first, 10ms * gateways);
+    pace.pause_first =
+        std::clamp<std::chrono::milliseconds>(10ms * gateways, pace.pause_first, pause_most_of_many);
     pace.pause_most = pause_most_of_many;
     return pace;
 }
@@ -88,11 +93,15 @@
 }
 
 void Discovery::send() {
+    // One that was silent and would answer at once is asked for what it has now: a watch would not tell its
+    // return until there is news.
+    waits_ = version_ && !(failing_ && pace_.free);
+    const auto hold = waits_ ? pace_.hold : 0ms;
     request_ = "GET /catalog/members";
     if (version_)
-        request_ += "?from=" + std::to_string(*version_) + "&hold_ms=" + std::to_string(pace_.hold.count());
+        request_ += "?from=" + std::to_string(*version_) + "&hold_ms=" + std::to_string(hold.count());
     request_ += " HTTP/1.1\r\nHost: discovery\r\n\r\n";
-    stream_.expires_after(version_ ? pace_.hold + pace_.patience : pace_.patience);
+    stream_.expires_after(hold + pace_.patience);
     under_way_ = true;
     boost::asio::async_write(stream_, boost::asio::buffer(request_),
                              [this, at = generation_](error_code ec, std::size_t) {
@@ -109,11 +118,10 @@
     under_way_ = true;
     http::async_read(stream_, buffer_, *parser_, [this, at = generation_](error_code ec, std::size_t) {
         if (!goes_on(at)) return;
-        if (ec)
-            return ask_anew(ec == beast::error::timeout ? "is silent" : "broke off",
-                            ec == beast::error::timeout);
+        if (ec == beast::error::timeout) return ask_anew("is silent", Lost::silent);
+        if (ec) return ask_anew("broke off");
         const auto answer = parser_->release();
-        if (answer.result() != http::status::ok) return ask_anew("answers no list", true);
+        if (answer.result() != http::status::ok) return ask_anew("answers no list", Lost::no_room);
         const bool keep = answer.keep_alive();
         if (!keep) {
             connected_ = false;
@@ -141,10 +149,13 @@
 }
 
 // Only the first failure of a row is logged. After one that may have cost news the whole list is asked for.
-void Discovery::ask_anew(const char* what, bool from_here) {
-    if (!std::exchange(failing_, true)) std::fprintf(stderr, "discovery: %s\n", what);
+void Discovery::ask_anew(const char* what, Lost lost) {
+    const bool first = !std::exchange(failing_, true);
+    if (first) std::fprintf(stderr, "discovery: %s\n", what);
     start_over();
-    if (!from_here) version_.reset();
+    if (lost == Lost::connection) version_.reset();
+    // What a silent watch misses counts as told some seconds on: it has waited long enough.
+    if (lost == Lost::silent && (pace_.free || (first && waits_))) return ask();
     // Half of it by chance, so that those turned away together do not come again together.
     const auto half = std::chrono::duration_cast<std::chrono::microseconds>(pause_next_) / 2;
     const bool steady = pace_.pause_first == pace_.pause_most;
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -19,9 +19,11 @@
 namespace spartrack {
 
 // How long a watch is held, how long beyond that an answer may take, and how long after a failure the next
-// call waits: twice as long with each further one in a row, `pause_most` at most, and not all at once.
+// call waits: twice as long with each further one in a row, `pause_most` at most, and not all at once. Where
+// asking is free, silence is wait enough.
 struct WatchPace {
     std::chrono::milliseconds hold{1000}, patience{400}, pause_first{100}, pause_most{100};
+    bool free = false;
 };
 
 // Asks for the whole list first, then for what is newer than the last answer, again and again. An agent that
@@ -30,8 +32,11 @@
 class Discovery {
   public:
     using OnList = std::function<void(const TargetList&)>;
-    // Many gateways wear discovery out with calls that it turns away or that are given up before their turn.
-    static WatchPace pace_among(int gateways);
+    // Where lists are pushed, the agent has them at hand, answers at once and for nothing, and what it has
+    // counts as told: its return from silence must be noticed within a drain's grace. Where they are asked
+    // for, many gateways wear discovery out with calls that it turns away or that are given up before their
+    // turn.
+    static WatchPace pace_among(int gateways, bool pushed);
 
     Discovery(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& agent, OnList on_list,
               WatchPace pace = {}, std::uint64_t seed = 1);
@@ -45,7 +50,8 @@
     void send();
     void receive();
     void take(const std::string& body);
-    void ask_anew(const char* what, bool from_here = false);
+    enum class Lost { connection, no_room, silent };
+    void ask_anew(const char* what, Lost lost = Lost::connection);
     void start_over();
     bool goes_on(std::size_t generation);
 
@@ -61,6 +67,7 @@
     std::string request_;
     std::optional<std::int64_t> version_;
     bool connected_ = false, failing_ = false, stopped_ = false;
+    bool waits_ = false;          // the call under way is a watch
     bool under_way_ = false;      // an operation on the stream
     std::size_t generation_ = 0;  // of the connection, so that handlers of a former one are told apart
 };
--- a/src/node/runtime.cpp
+++ b/src/node/runtime.cpp
@@ -144,7 +144,8 @@
         first_told();
     };
     discovery_ = std::make_unique<Discovery>(io, config.discovery, on_told,
-                                             Discovery::pace_among(settings_.instances), config.seed);
+                                             Discovery::pace_among(settings_.instances, config.lists_pushed),
+                                             config.seed);
     upgrade_ = std::make_unique<Upgrade>(
         io, HandoverPlace(io, config.handover_folder, handover_name(config)),
         Upgrade::Callbacks{[this](Upgrade::Left&& left) { serve(std::move(left)); }, [this] { serve({}); },
--- a/tests/node/gateway_test.cpp
+++ b/tests/node/gateway_test.cpp
@@ -45,8 +45,7 @@
                 R"(],"familyInfo":{"unitsTop":2},"requestClasses":[{"name":"read","effect":"retryable","deadlineUs":)" +
                 std::to_string(deadline_ms) +
                 R"(000,"value":1},{"name":"book","effect":"fragile","deadlineUs":)" +
-                std::to_string(deadline_ms) +
-                R"(000,"value":1}],"ceilings":{)" + may +
+                std::to_string(deadline_ms) + R"(000,"value":1}],"ceilings":{)" + may +
                 R"("maxAttempts":4,"retryAfter":true},)"
                 R"("guarantees":{"startCapacity":0.2,"coldUs":1000000,"fallUs":1000000}}})",
             [](const char*) { return nullptr; });
@@ -312,8 +311,8 @@
     EXPECT_EQ(client.answers()[0].body(), "next");
 }
 
-// Found on the narrow days: a third of the connections came up late, some after the request's end, and carried
-// it to a host all the same.
+// Found on the narrow days: a third of the connections came up late, some after the request's end, and
+// carried it to a host all the same.
 TEST_F(GatewayTest, AnAttemptThatHasNotGoneOutEndsWithItsClient) {
     NeverUp late(io);
     listed = whole(1, target("n", "127.0.0.1:" + std::to_string(late.endpoint().port())));
--- a/tests/node/watch_test.cpp
+++ b/tests/node/watch_test.cpp
@@ -92,7 +92,50 @@
     EXPECT_GE(at[2] - at[1], 20ms);
     EXPECT_GE(at[3] - at[2], 40ms);
     EXPECT_GE(at[4] - at[3], 80ms);
-    EXPECT_GT(Discovery::pace_among(48).hold, Discovery::pace_among(4).hold);
+    EXPECT_GT(Discovery::pace_among(48, false).hold, Discovery::pace_among(4, false).hold);
+    const WatchPace of_many = Discovery::pace_among(300, false);
+    EXPECT_LE(of_many.pause_first, of_many.pause_most);
+}
+
+// Found on the large days: 300 gateways waited for 1.5 to 3 s after a silent watch and for up to 2 s between
+// asks, while all that the agent had counted as told.
+TEST(Discovery, AnAgentThatHasPushedListsIsAskedAgainWithoutAPause) {
+    asio::io_context io;
+    std::vector<std::chrono::steady_clock::time_point> at;
+    Server agent(io, [&](auto& p) {
+        at.push_back(std::chrono::steady_clock::now());
+        if (at.size() == 1 || at.size() == 6) p.ok(list(static_cast<int>(at.size()), true, "ready"));
+        else if (at.size() == 5) p.close();
+    });
+    std::vector<TargetList> lists;
+    WatchPace pace = Discovery::pace_among(300, true);
+    pace.hold = 20ms;
+    Discovery watch(
+        io, agent.endpoint(), [&](const TargetList& l) { lists.push_back(l); }, pace, 5);
+    ASSERT_TRUE(run_until(io, [&] { return at.size() == 7; }));
+    EXPECT_LT(at[4] - at[1], 1000ms);  // silent: three times its patience
+    EXPECT_LT(at[5] - at[4], 500ms);   // closed
+    EXPECT_EQ(agent.targets[1], "/catalog/members?from=1&hold_ms=20");
+    // Whether it is back shows at once, with news or without.
+    for (std::size_t i = 2; i < 5; ++i) EXPECT_EQ(agent.targets[i], "/catalog/members?from=1&hold_ms=0");
+    EXPECT_EQ(agent.targets[5], "/catalog/members");
+    EXPECT_EQ(agent.targets[6], "/catalog/members?from=6&hold_ms=20");
+    EXPECT_EQ(lists.size(), 2u);
+}
+
+// What it misses counts as told 6 s after it fell silent.
+TEST(Discovery, ASilentWatchIsOpenedAnewAtOnceWhereAsksCostToo) {
+    asio::io_context io;
+    std::vector<std::chrono::steady_clock::time_point> at;
+    Server agent(io, [&](auto& p) {
+        at.push_back(std::chrono::steady_clock::now());
+        if (at.size() == 1) p.ok(list(7, true, "ready"));
+    });
+    Discovery watch(
+        io, agent.endpoint(), [](const TargetList&) {}, {50ms, 40ms, 15s, 15s}, 5);
+    ASSERT_TRUE(run_until(io, [&] { return at.size() == 3; }));
+    EXPECT_LT(at[2] - at[1], 7s);
+    EXPECT_EQ(agent.targets[2], "/catalog/members?from=7&hold_ms=50");
 }
 
 TEST(PeerLink, KnowsSendersByAddressAndDropsOthers) {
