Hear no client before the agent's first word, or the known list's turn

The front still sends to a gateway that was restarted before it has noticed its end, and such a request was decided on by the known list, which may name hosts that have left meanwhile. What the agent has counts as told from the first moment of a new process.

Checked: /_health was held back until then already (Runtime::ready), but nothing held back requests that come without asking for it first.

Now whoever connects waits in the listener's queue until the agent has answered, or for the 0.5 s after which the known list serves where it is silent.

The test sends a request while the agent holds its first answer back: without this it goes to the host that only the known list names.

--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -452,7 +452,6 @@
         if (!std::exchange(starved_, false)) return;
         asio::post(io_, [this] { accept(); });
     });
-    accept();
     sweep();
 }
 ClientServer::~ClientServer() {
@@ -463,10 +462,14 @@
     while (!known_.empty()) known_.front()->close();
 }
 
+void ClientServer::open() {
+    open_ = true;
+    accept();
+}
 // One accept is under way unless there is no room for a further client: then the next comes with a freed
 // place.
 void ClientServer::accept() {
-    if (accepting_ || pass_ || !acceptor_.is_open()) return;
+    if (!open_ || accepting_ || pass_ || !acceptor_.is_open()) return;
     accepting_ = true;
     acceptor_.async_wait(tcp::acceptor::wait_read, [this](error_code waited) {
         accepting_ = false;
--- a/src/node/client_server.h
+++ b/src/node/client_server.h
@@ -58,6 +58,8 @@
     void end_answer(std::uint64_t id, std::string&& last);
     // No more comes of it: the connection ends so that the client can tell.
     void break_answer(std::uint64_t id);
+    // Until this, whoever connects waits unheard.
+    void open();
     // From now on /_health fails and answers end their connections; idle connections are closed.
     void drain();
     // Standby: the same for as long as it is on.
@@ -104,7 +106,7 @@
     Connections newcomers_, known_;
     std::unordered_map<std::uint64_t, Connection*> in_hand_;  // by request
     std::uint64_t next_id_ = 1;
-    bool accepting_ = false, starved_ = false, draining_ = false, standby_ = false;
+    bool open_ = false, accepting_ = false, starved_ = false, draining_ = false, standby_ = false;
 };
 
 }  // namespace spartrack
--- a/src/node/runtime.cpp
+++ b/src/node/runtime.cpp
@@ -186,9 +186,13 @@
             std::move(left.listener));
     });
     clients_->stand_by(standby_);
+    if (told_) clients_->open();
 }
+// What the agent has counts as told from the first moment on, so no request is heard before it: by a known
+// list that is out of date it would go to a host that has left meanwhile.
 void Runtime::first_told() {
     told_ = true;
+    if (clients_) clients_->open();
     if (upgrade_ && upgrade_->waiting()) upgrade_->ready();
 }
 
--- a/tests/node/gateway_test.cpp
+++ b/tests/node/gateway_test.cpp
@@ -108,6 +108,23 @@
     EXPECT_EQ(client.answers()[0].result_int(), 200u);
 }
 
+TEST_F(GatewayTest, NoRequestIsSentByTheKnownListWhileTheAgentIsAboutToAnswer) {
+    std::string told = std::exchange(listed, {});
+    Server left(io, [](auto& p) { p.ok("left"); });
+    extra = R"("known":)" + whole(7, target("l", left.address())) + ",";
+    gateway();
+    Client client(io, address());
+    client.say(request("a"));
+    ASSERT_TRUE(run_until(io, [&] { return agent.requests.size() == 1; }));
+    while (io.poll() > 0) {  // all that the request can bring about by itself
+    }
+    EXPECT_TRUE(left.requests.empty());
+    listed = told;
+    ASSERT_TRUE(answered(client));
+    EXPECT_EQ(client.answers()[0].body(), "served");
+    EXPECT_TRUE(left.requests.empty());
+}
+
 TEST_F(GatewayTest, BadRequestsAreAnsweredAndHarmNoOther) {
     ASSERT_TRUE(up());
     const auto status = [&](const std::string& text) {
@@ -264,6 +281,7 @@
     ClientServer server(
         io, any_port(), places, 60000,
         {[&](ClientRequest&& r) { taken.push_back(std::move(r)); }, [](auto) {}, [] { return true; }});
+    server.open();
     const std::string text =
         "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 40000\r\n\r\n" + std::string(40000, 'x');
     Client first(io, server.local_endpoint());
@@ -435,6 +453,7 @@
     ClientServer server(
         io, any_port(), places, 1 << 20,
         {[&](ClientRequest&& r) { taken.push_back(std::move(r)); }, [](auto) {}, [] { return true; }});
+    server.open();
     server.drain();
     Client first(io, server.local_endpoint()), second(io, server.local_endpoint());
     first.say(request("a"));
