Cancel the attempts of a client that has left

By reading: the module's on(ClientLeft) only forgot the request; the attempts stayed in left_out_ until a host answered nobody. Where the settings allow cancels they end now with their client.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -456,8 +456,8 @@
         if (c.nonce == 0) obtain(c);
     }
 
-    // This gateway's part of the open cap. What is let in and not sent yet will count as well. A part of a place
-    // is none, but for the first: rounded up, the parts of a set would be more than the cap.
+    // This gateway's part of the open cap. What is let in and not sent yet will count as well. A part of a
+    // place is none, but for the first: rounded up, the parts of a set would be more than the cap.
     double places(const Customer& c) const {
         return std::max(1.0, std::floor(plan_of(c)->max_open * share(c)));
     }
@@ -881,8 +881,14 @@
             actions_->push_back(CancelAttempt{q.ask.id, q.attempts - 1});
     }
 
+    // Nobody waits for its attempts any more. Guards against hosts that work on for clients who have left;
+    // harms by a handshake for each connection that ends with them.
     void on(const ClientLeft& e) {
-        if (const auto it = requests_.find(e.id); it != requests_.end()) forget(it->second);
+        const auto it = requests_.find(e.id);
+        if (it == requests_.end()) return;
+        for (int attempt = 0; it->second.out > 0 && s_.may_cancel && attempt < it->second.attempts; ++attempt)
+            actions_->push_back(CancelAttempt{e.id, attempt});
+        forget(it->second);
     }
 
     // ---- the list of hosts ------------------------------------------------------------------------------
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -324,6 +324,24 @@
               1u);
 }
 
+// Found in page8618: clients reset their connections within milliseconds of a request, and hosts worked on
+// for nobody.
+TEST(Cancel, AttemptsOfAClientThatLeftAreCancelled) {
+    Settings s = one_gateway();
+    for (const bool may : {true, false}) {
+        s.may_cancel = may;
+        Bench b(s);
+        const auto sent = of<SendAttempt>(b.ask(1));
+        ASSERT_EQ(sent.size(), 1u);
+        const auto cancelled = of<CancelAttempt>(b.feed(ClientLeft{1}));
+        ASSERT_EQ(cancelled.size(), may ? 1u : 0u);
+        for (const CancelAttempt& c : cancelled) EXPECT_EQ(c.attempt, 0);
+        EXPECT_TRUE(of<CancelAttempt>(b.feed(ClientLeft{1})).empty());
+        b.ask(2);
+        EXPECT_TRUE(of<CancelAttempt>(b.end(2, sent[0].host, Outcome::good, 5ms)).empty());
+    }
+}
+
 TEST(Ceiling, AFreshInstanceHasNothingOfABurstItMayHaveSpentBefore) {
     Settings s = one_gateway();
     s.plans[0].hard_rate = 4, s.plans[0].hard_burst = 8;
@@ -981,7 +999,7 @@
     s.plans[0].rate = s.plans[0].burst = 1e6;
     s.fall_multiple = 2.5;
     std::vector<HostEntry> hosts;
-    for (int i = 0; i < 8; ++i) hosts.push_back(host("h" + std::to_string(i)));
+    for (int i = 0; i < 8; ++i) hosts.push_back(host(std::string("h").append(std::to_string(i))));
     Bench b(s, hosts);
     std::map<std::string, int> sent;
     RequestId id = 1;
