Read on behind a request in hand, so that a client's leave is seen behind what it sent

Seen by reading: Connection::read() read nothing more once 4 KiB stood unread behind a request in hand, so the end of a client that sent more than that and left stood unseen behind it in the kernel until the answer was written. Until then its request was sent on and its attempts ran.

Now it reads on: 16 KiB are kept, as a header may have, what comes beyond is dropped, and the answer ends the connection, which no client that asks one thing at a time is touched by. Half a megabyte of that ends it.

Both tests fail without this.

--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -221,8 +221,8 @@
     void read() {
         if (server_.pass_ && passable()) return pass();
         if (closed_ || reading_ || paused_) return;
-        // A client that sends on and on before its answer is not read further.
-        if (!lingering_ && (request_ != 0 || writing_) && unread_.size() >= read_at_once) return;
+        // A client that sends on and on while its answer is written is not read further.
+        if (!lingering_ && request_ == 0 && writing_ && unread_.size() >= read_at_once) return;
         if (lingering_ && dropped_ >= linger_most_bytes) return;
         reading_ = true;
         // Waits first and reads then: what has come stays in the kernel, where idle() sees it. A read that is
@@ -236,6 +236,13 @@
     }
     void take_in() {
         if (lingering_) return drop();
+        // Behind a request in hand all is read, or its client's leave would stand unseen behind the rest.
+        // What is more than any client has to say by then is dropped, and the answer ends the connection.
+        if (request_ != 0 && unread_.size() >= most_header) {
+            keep_alive_ = false, close_after_ = true;
+            if (dropped_ >= linger_most_bytes) return close();
+            return drop();
+        }
         error_code ec;
         const std::size_t n = socket_.read_some(unread_.prepare(read_at_once), ec);
         if (ec && ec != asio::error::would_block && ec != asio::error::try_again) return close();
--- a/tests/node/gateway_test.cpp
+++ b/tests/node/gateway_test.cpp
@@ -374,6 +374,47 @@
     EXPECT_EQ(budget->held(SocketBudget::Side::host), 1u);  // the kept connection
 }
 
+// On the narrow days some clients send much at once and go.
+TEST_F(GatewayTest, AClientThatLeavesBehindMuchUnreadIsNoticed) {
+    deadline_ms = 60000;
+    may = R"("cancel":true,)";
+    on_request = [](auto&) {};
+    ASSERT_TRUE(up());
+    for (const std::size_t behind : {5000u, 40000u}) {
+        Client client(io, address());
+        client.say(request("a") + std::string(behind, 'x'));
+        const std::size_t asked = host.requests.size();
+        ASSERT_TRUE(run_until(io, [&] { return host.requests.size() > asked; })) << behind;
+        client.close();
+        ASSERT_TRUE(run_until(io, [&] { return host.peers.back()->closed; })) << behind;
+    }
+}
+
+TEST_F(GatewayTest, AClientThatSendsOnBehindItsRequestHasItsAnswerAndAnEnd) {
+    on_request = [](auto&) {};
+    ASSERT_TRUE(up());
+    Client client(io, address());
+    client.say(request("a") + std::string(40000, 'x'));
+    ASSERT_TRUE(run_until(io, [&] { return host.requests.size() == 1; }));
+    ASSERT_TRUE(passed(50ms));
+    host.peers[0]->ok("served");
+    ASSERT_TRUE(run_until(io, [&] { return client.ended(); }));
+    ASSERT_EQ(client.answers().size(), 1u);
+    EXPECT_EQ(client.answers()[0].body(), "served");
+    // Without an end it is not read for ever.
+    Client flood(io, address());
+    flood.say(request("b"));
+    try {
+        for (int i = 0; i < 40 && !flood.ended(); ++i) {
+            flood.say(std::string(16384, 'x'));
+            ASSERT_TRUE(passed(2ms));
+        }
+    } catch (const boost::system::system_error&) {  // closed as it was written to
+    }
+    EXPECT_TRUE(run_until(io, [&] { return flood.ended(); }));
+    EXPECT_TRUE(flood.answers().empty());
+}
+
 TEST_F(GatewayTest, ABrokenHostIsMadeUpForByAnother) {
     Server broken(io, [](auto& p) { p.reset(); });
     listed = whole(1, target("b", broken.address()) + "," + target("h", host.address()));
