Keep no more of a quota ahead at a set's gateways than its burst

Now a gateway asks ahead for its part of the burst at most, and not at all where that covers no request.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -346,8 +346,13 @@
         if (!p || p->rate <= 0 || c.ahead || now_ < c.dry_until || handed_) return;
         const double soon = std::max(k, c.own.value(now_, use_memory_s) / use_memory_s * part_ahead_s);
         const int to = home(c.hash, c.set_start, c.set_size, 0);
-        if (c.level >= soon || to == s_.rank || !s_.may_message || now_ < peers_[to].silent_until) return;
-        PartAsk ask{0, c.hash, c.plan, c.set_size, c.set_start, 0, parts_ahead * soon, hard_lack(c, k)};
+        // What lies unspent at the gateways of a set is more than the customer's own store would hold, as
+        // that fills to the burst only: together they keep no more than that ahead.
+        const double most = p->burst / c.set_size;
+        if (c.level >= soon || most < k || to == s_.rank || !s_.may_message || now_ < peers_[to].silent_until)
+            return;
+        const double ahead = std::min(parts_ahead * soon, most);
+        PartAsk ask{0, c.hash, c.plan, c.set_size, c.set_start, 0, ahead, hard_lack(c, k)};
         c.ahead = true;
         send_ask(c, to, ask, true);
     }
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -837,6 +837,31 @@
     EXPECT_EQ(of<SendAttempt>(b.ask(3, 1, 2s, 0, 0, "c", 2)).size(), 1u);
 }
 
+// Found on calm days of 100 gateways: three requests' worth lay at each gateway that a customer had ever
+// used, several bursts in all, and small customers got nothing.
+TEST(Home, AGatewaySetKeepsNoMoreAheadThanTheBurst) {
+    Settings s = one_of_two();
+    s.instances = 100;
+    const auto ahead_in_set = [&](int set) {
+        double most = 0;
+        Settings here = s;
+        here.rank = static_cast<int>((name_hash("c") + 1) % static_cast<std::uint32_t>(set));
+        Bench b(here);
+        const auto asked = of<SendMessage>(b.ask(1, 1, 2s, 0, 0, "c", set));
+        EXPECT_EQ(asked.size(), 1u);
+        if (asked.empty()) return most;
+        EXPECT_EQ(of<SendAttempt>(give(b, asked[0], 1)).size(), 1u);
+        for (const SendMessage& m : of<SendMessage>(b.pass(1s)))
+            most = std::max(most, std::get<PartAsk>(unpack(m.bytes)->at(0)).extra);
+        return most;
+    };
+    const double burst = s.plans[0].burst;  // 4
+    EXPECT_GT(ahead_in_set(2), 0);
+    for (const int set : {2, 3, 4})
+        EXPECT_LE((ahead_in_set(set) - 1.0 / 16) * set, burst) << set;  // rounded up
+    for (const int set : {5, 50, 100}) EXPECT_EQ(ahead_in_set(set), 0) << set;
+}
+
 // Found on page5745: asks that no request waited for filled the outbox, and those that one did wait for lay
 // in it.
 TEST(Home, WhatNoRequestWaitsForGoesAlongWithWhatOneDoes) {
