End before the kill comes, and not over a request that lies unread

Seen by reading, both in the planned end. First, drain_until_ was 0.7 s after the longest deadline: the very moment at which SIGKILL may come, and later than it where a class waits for more than 3 s, which count as 3. What was in hand then went unanswered. Second, end_when_quiet() runs between two turns of the loop, and quiet() called a connection quiet whose next request lay in the kernel: the end then closed it unanswered, though it counts as taken.

Now the end is 150 ms before the kill at the soonest, what is in hand by then is answered (504, as by the backstop), and a connection with bytes unread is not quiet.

Ruled out: connections that idle at SIGTERM (closed at once, with a look at the kernel) and those the machine has accepted (take_rest). Both tests fail without this (the end came after 15 s).

--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -89,7 +89,11 @@
         return !closed_ && came_ <= since &&
                (lingering_ || (request_ == 0 && !writing_ && socket_.available(ec) == 0));
     }
-    bool busy() const { return !closed_ && !lingering_ && !between_requests(); }
+    // What the kernel holds unread may be a request: it counts as taken.
+    bool busy() const {
+        error_code ec;
+        return !closed_ && !lingering_ && (!between_requests() || socket_.available(ec) > 0);
+    }
     bool overdue(std::chrono::steady_clock::time_point now) const { return now >= give_up_; }
     // What a connection that has waited for too long gets: an idle one just ends.
     void time_out() {
--- a/src/node/client_server.h
+++ b/src/node/client_server.h
@@ -75,7 +75,7 @@
     // Takes in what the machine has accepted already: requests in there count as taken. False if that was
     // nothing.
     bool take_rest();
-    // No connection has a request in hand, half read, or an answer half written.
+    // No connection has a request in hand, half read or unread, or an answer half written.
     bool quiet() const;
     boost::asio::ip::tcp::endpoint local_endpoint() const { return acceptor_.local_endpoint(); }
 
--- a/src/node/runtime.cpp
+++ b/src/node/runtime.cpp
@@ -19,6 +19,9 @@
 constexpr auto first_word = 500ms;
 // New connections come for 0.4 s after SIGTERM; the listener stays open beyond that.
 constexpr auto accept_after_term = 700ms, look_again = 20ms;
+// SIGKILL comes 0.7 s after the longest deadline, which counts as 3 s where it is longer. Whatever is in hand
+// by then has its answer well before.
+constexpr Micros longest_wait = 3s, before_kill = 150ms;
 // No host holds so many requests: a report beyond it, or one below 0, is a slip that would move the choice of
 // hosts for as long as it is believed.
 constexpr double most_reported = 1e5;
@@ -502,11 +505,15 @@
         if (it == live_.end() || it->second.answered) continue;
         std::fprintf(stderr, "request %llu: no decision by its deadline\n",
                      static_cast<unsigned long long>(due.token));
-        finish(it, make_answer(http::status::gateway_timeout));
-        feed(sr::ClientLeft{due.token});
+        give_up(it);
     }
     arm();
 }
+void Runtime::give_up(LiveAt live) {
+    const std::uint64_t id = live->first;
+    finish(live, make_answer(http::status::gateway_timeout));
+    feed(sr::ClientLeft{id});
+}
 
 // ---- the end ----
 
@@ -519,16 +526,24 @@
     clients_->drain();
     Micros longest{0};
     for (const sr::RequestClass& c : settings_.classes) longest = std::max(longest, c.deadline);
-    drain_until_ = clock_.now() + accept_after_term + longest;
+    drain_until_ = clock_.now() + accept_after_term + std::min(longest, longest_wait) - before_kill;
     drain_timer_.expires_after(accept_after_term);
     drain_timer_.async_wait([this](error_code stopped) {
         if (!stopped) end_when_quiet();
     });
 }
 void Runtime::end_when_quiet() {
-    // A client that never ends its half request does not keep the gateway: whatever was taken whole is
-    // answered by the longest deadline.
-    if ((clients_->quiet() && !clients_->take_rest()) || clock_.now() >= drain_until_) {
+    // A client that never ends its half request does not keep the gateway, and one whose time goes beyond the
+    // end has its answer now.
+    const bool over = clock_.now() >= drain_until_;
+    if (over) {
+        std::vector<std::uint64_t> open;
+        for (const auto& [id, live] : live_)
+            if (!live.answered) open.push_back(id);
+        for (const std::uint64_t id : open)
+            if (const auto it = live_.find(id); it != live_.end() && !it->second.answered) give_up(it);
+    }
+    if (over || (clients_->quiet() && !clients_->take_rest())) {
         discovery_->stop();
         return drained_();
     }
--- a/src/node/runtime.h
+++ b/src/node/runtime.h
@@ -96,6 +96,7 @@
     void finish(LiveAt live, Answer&& answer);
     void close(LiveAt live);
     void drop_if_over(std::uint64_t id);
+    void give_up(LiveAt live);
     void wait(Wait wait);
     void arm();
     void on_time();
--- a/tests/node/gateway_test.cpp
+++ b/tests/node/gateway_test.cpp
@@ -515,6 +515,40 @@
     EXPECT_TRUE(server.quiet());
 }
 
+// The end looks for what is open between two turns of the loop, and a request may lie in the kernel by then.
+TEST_F(GatewayTest, ARequestThatTheLoopHasNotSeenYetKeepsThePlannedEnd) {
+    SocketBudget places(40);
+    ClientServer server(
+        io, any_port(), places, 1 << 20,
+        {[&](ClientRequest&& r) { server.answer(r.id, make_answer(http::status::ok, "last")); }, [](auto) {},
+         [] { return true; }});
+    server.open();
+    Client client(io, server.local_endpoint());
+    ASSERT_TRUE(run_until(io, [&] { return places.held(SocketBudget::Side::client) == 1; }));
+    server.drain();
+    EXPECT_TRUE(server.quiet());
+    client.say(request("a"));
+    EXPECT_FALSE(server.quiet());
+    ASSERT_TRUE(answered(client));
+    EXPECT_TRUE(server.quiet());
+}
+
+// SIGKILL comes 3.7 s after SIGTERM at the soonest, however long a request may wait.
+TEST_F(GatewayTest, WhatIsInHandHasItsAnswerBeforeAPlannedEndIsForced) {
+    on_request = [](auto&) {};
+    ASSERT_TRUE(up());
+    Client client(io, address());
+    client.say(request("a", "", "read"));
+    ASSERT_TRUE(run_until(io, [&] { return host.requests.size() == 1; }));
+    const auto begun = std::chrono::steady_clock::now();
+    bool done = false;
+    gateway().drain([&] { done = true; });
+    ASSERT_TRUE(run_until(io, [&] { return done; }));
+    EXPECT_LT(std::chrono::steady_clock::now() - begun, 3700ms);
+    ASSERT_TRUE(answered(client));
+    EXPECT_NE(client.answers()[0].result_int(), 200u);
+}
+
 TEST_F(GatewayTest, AHalfRequestDoesNotHoldUpAPlannedEnd) {
     deadline_ms = 100;
     ASSERT_TRUE(up());
