Count a request's time from its arrival, also while it stands unread

Traced by id through their gateways: each gateway that was not killed answers all it has taken. Cause: where lists are asked for and discovery is overbooked, a restarted gateway waits for the first list for 500 ms. Meanwhile its listener is bound and nobody reads, and Runtime::on_request then counted the time that the client gives from the moment of reading. A request sent just after the start was answered up to 0.5 s after its client's time. Change: connections are accepted and read from the start and heard once the gateway is open. The same fault stood behind a pipelined request, behind the pause after a bad one, and in the accept backlog while no place was left; all four have a test that fails without the change.

--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -49,8 +49,14 @@
 // One client's connection. A read is always under way, so that a client that leaves is noticed at once.
 class ClientServer::Connection : public std::enable_shared_from_this<Connection> {
   public:
-    Connection(ClientServer& server, tcp::socket&& socket, SocketBudget::Place&& place)
-        : server_(server), socket_(std::move(socket)), place_(std::move(place)), unread_(most_unread) {
+    // `came`: the latest time by which it is sure to have come.
+    Connection(ClientServer& server, tcp::socket&& socket, SocketBudget::Place&& place,
+               Steady::time_point came)
+        : server_(server),
+          socket_(std::move(socket)),
+          place_(std::move(place)),
+          unread_(most_unread),
+          came_(came) {
         expect(header_most);
     }
 
@@ -61,6 +67,7 @@
         error_code ec;
         socket_.set_option(tcp::no_delay(true), ec);
         socket_.non_blocking(true, ec);
+        if (socket_.available(ec) > 0) first_bytes_at_ = came_;
         read();
     }
     // As `start`, of one that another process has handed over.
@@ -68,6 +75,7 @@
         first_ = first;
         if (!first) expect(idle_most);
         unread_.commit(asio::buffer_copy(unread_.prepare(unread.size()), asio::buffer(unread)));
+        unread_since_ = Steady::now();
         error_code ec;
         socket_.non_blocking(true, ec);
         parse();
@@ -81,18 +89,23 @@
         error_code ec;
         return between_requests() && unread_.size() == 0 && socket_.available(ec) == 0;
     }
+    // What was read before the server opened is heard now.
+    void hear() {
+        parse();
+        read();
+    }
     // The same, and it has had an answer: whoever has just connected may be about to ask.
     bool kept() const { return !first_ && !paused_ && idle(); }
     // Nothing whole of it is in hand or being answered, and nothing that the kernel holds could be that.
     bool gives_nothing(std::chrono::steady_clock::time_point since) const {
         error_code ec;
         return !closed_ && came_ <= since &&
-               (lingering_ || (request_ == 0 && !writing_ && socket_.available(ec) == 0));
+               (lingering_ || (request_ == 0 && !writing_ && !unheard() && socket_.available(ec) == 0));
     }
     // What the kernel holds unread may be a request: it counts as taken.
     bool busy() const {
         error_code ec;
-        return !closed_ && !lingering_ && (!between_requests() || socket_.available(ec) > 0);
+        return !closed_ && !lingering_ && (!between_requests() || unheard() || socket_.available(ec) > 0);
     }
     bool overdue(std::chrono::steady_clock::time_point now) const { return now >= give_up_; }
     // What a connection that has waited for too long gets: an idle one just ends.
@@ -200,6 +213,8 @@
     bool between_requests() const {
         return !closed_ && request_ == 0 && !writing_ && !lingering_ && !parser_;
     }
+    // What has been read of a next request waits until the server opens, or the pause is over.
+    bool unheard() const { return (paused_ || !server_.open_) && unread_.size() > 0; }
     // What stands unread goes along; what the parser has taken up could not.
     bool passable() const {
         return !closed_ && request_ == 0 && !writing_ && !lingering_ && !paused_ && (!parser_ || !taken_up_);
@@ -230,9 +245,10 @@
 
     void read() {
         if (server_.pass_ && passable()) return pass();
-        if (closed_ || reading_ || paused_) return;
-        // A client that sends on and on while its answer is written is not read further.
-        if (!lingering_ && request_ == 0 && writing_ && unread_.size() >= read_at_once) return;
+        if (closed_ || reading_) return;
+        // A client that sends on and on while nothing of it can be heard is not read further.
+        const bool waits = writing_ || paused_ || !server_.open_;
+        if (!lingering_ && request_ == 0 && waits && unread_.size() >= read_at_once) return;
         if (lingering_ && dropped_ >= linger_most_bytes) return;
         reading_ = true;
         // Waits first and reads then: what has come stays in the kernel, where idle() sees it. A read that is
@@ -256,6 +272,9 @@
         error_code ec;
         const std::size_t n = socket_.read_some(unread_.prepare(read_at_once), ec);
         if (ec && ec != asio::error::would_block && ec != asio::error::try_again) return close();
+        // The time of a request counts from its arrival, however long it then stands unread.
+        if (unread_.size() == 0 && n > 0)
+            unread_since_ = std::exchange(first_bytes_at_, std::nullopt).value_or(Steady::now());
         unread_.commit(n);
         parse();
         read();
@@ -270,7 +289,8 @@
 
     void parse() {
         if (std::exchange(parsing_, true)) return;  // an answer given within, whose connection goes on here
-        while (unread_.size() > 0 && !closed_ && request_ == 0 && !writing_ && !lingering_ && !paused_)
+        while (server_.open_ && unread_.size() > 0 && !closed_ && request_ == 0 && !writing_ && !lingering_ &&
+               !paused_)
             if (!parse_some()) break;
         parsing_ = false;
         // A buffer that has grown is given back as soon as nothing stands in it.
@@ -354,6 +374,7 @@
         ClientRequest request;
         request.room = std::move(room_);
         request.id = request_ = server_.next_id_++;
+        request.arrived = unread_since_;
         request.message = std::move(message);
         server_.in_hand_.emplace(request_, this);
         server_.callbacks_.on_request(std::move(request));
@@ -430,7 +451,10 @@
     boost::beast::flat_buffer unread_;
     ByteBudget::Room room_;                    // of the body that is read
     std::size_t dropped_ = 0, body_came_ = 0;  // of a body, since its time was last extended
-    std::chrono::steady_clock::time_point came_ = std::chrono::steady_clock::now();
+    Steady::time_point came_;
+    std::optional<Steady::time_point>
+        first_bytes_at_;               // where they were here before the connection was accepted
+    Steady::time_point unread_since_;  // when the first byte of what stands unread came
     std::chrono::milliseconds penalty_{0};
     std::optional<Parser> parser_;
     std::string out_, next_;  // what is being written, and the last piece of a long answer behind it
@@ -470,6 +494,7 @@
         asio::post(io_, [this] { accept(); });
     });
     sweep();
+    accept();
 }
 ClientServer::~ClientServer() {
     budget_.on_freed({});
@@ -480,19 +505,24 @@
 }
 
 void ClientServer::open() {
-    open_ = true;
-    accept();
+    if (std::exchange(open_, true)) return;
+    const Connections waiting = newcomers_;  // being heard moves them
+    for (const auto& connection : waiting) connection->hear();
 }
 // One accept is under way unless there is no room for a further client: then the next comes with a freed
 // place.
 void ClientServer::accept() {
-    if (!open_ || accepting_ || pass_ || !acceptor_.is_open()) return;
+    if (accepting_ || pass_ || !acceptor_.is_open()) return;
     accepting_ = true;
     acceptor_.async_wait(tcp::acceptor::wait_read, [this](error_code waited) {
         accepting_ = false;
         if (waited || pass_ || !acceptor_.is_open()) return;
         error_code ec;
-        if (!take_one(ec)) {
+        bool had_place = take_one(ec);
+        while (had_place && !ec && backlog_since_) had_place = take_one(ec);
+        if (ec == asio::error::would_block || ec == asio::error::try_again) backlog_since_.reset();
+        else if ((!had_place || ec) && !backlog_since_) backlog_since_ = Steady::now();
+        if (!had_place) {
             starved_ = true;
             return;
         }
@@ -519,7 +549,8 @@
     tcp::socket socket(io_);
     acceptor_.accept(socket, ec);
     if (ec) return true;
-    const auto taken = std::make_shared<Connection>(*this, std::move(socket), std::move(*place));
+    const auto taken = std::make_shared<Connection>(*this, std::move(socket), std::move(*place),
+                                                    backlog_since_.value_or(Steady::now()));
     taken->self = newcomers_.insert(newcomers_.end(), taken);
     taken->list = &newcomers_;
     taken->start();
@@ -628,7 +659,8 @@
     adopted.assign(acceptor_.local_endpoint().protocol(), socket.get(), ec);
     if (!ec) socket.release();  // it is the socket's now
     if (!place || ec) return;
-    const auto taken = std::make_shared<Connection>(*this, std::move(adopted), std::move(*place));
+    const auto taken =
+        std::make_shared<Connection>(*this, std::move(adopted), std::move(*place), Steady::now());
     Connections& list = first ? newcomers_ : known_;
     taken->self = list.insert(list.end(), taken);
     taken->list = &list;
--- a/src/node/client_server.h
+++ b/src/node/client_server.h
@@ -9,10 +9,12 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
 #include "byte_budget.h"
+#include "clock.h"
 #include "handover.h"
 #include "http.h"
 #include "socket_budget.h"
@@ -20,9 +22,10 @@
 namespace spartrack {
 
 struct ClientRequest {
-    std::uint64_t id = 0;   // never used again
-    Request message;        // without what concerns the client's connection only
-    ByteBudget::Room room;  // its body's
+    std::uint64_t id = 0;        // never used again
+    Steady::time_point arrived;  // at this machine, as far as that is known: never later than it did
+    Request message;             // without what concerns the client's connection only
+    ByteBudget::Room room;       // its body's
 };
 
 class ClientServer {
@@ -58,7 +61,7 @@
     void end_answer(std::uint64_t id, std::string&& last);
     // No more comes of it: the connection ends so that the client can tell.
     void break_answer(std::uint64_t id);
-    // Until this, whoever connects waits unheard.
+    // Until this, whoever connects waits unheard; the time of what it has sent runs.
     void open();
     // From now on /_health fails and answers end their connections; idle connections are closed.
     void drain();
@@ -106,6 +109,7 @@
     Connections newcomers_, known_;
     std::unordered_map<std::uint64_t, Connection*> in_hand_;  // by request
     std::uint64_t next_id_ = 1;
+    std::optional<Steady::time_point> backlog_since_;  // connections may have waited for a place from then on
     bool open_ = false, accepting_ = false, starved_ = false, draining_ = false, standby_ = false;
 };
 
--- a/src/node/clock.h
+++ b/src/node/clock.h
@@ -12,7 +12,10 @@
   public:
     // Microseconds that never go back. They begin at the Unix time of the start: a host's boot stamp is a
     // time of this clock as it comes, and stays the same each time it is told.
-    Micros now() const { return anchor_ + std::chrono::duration_cast<Micros>(Steady::now() - start_); }
+    Micros now() const { return at(Steady::now()); }
+    Micros at(Steady::time_point when) const {
+        return anchor_ + std::chrono::duration_cast<Micros>(when - start_);
+    }
 
   private:
     Steady::time_point start_ = Steady::now();
--- a/src/node/runtime.cpp
+++ b/src/node/runtime.cpp
@@ -367,7 +367,8 @@
     event.plan = facts.plan;
     event.request_class = facts.request_class;
     event.units = facts.units;
-    event.time_left = facts.time_left;
+    const Micros deadline = clock_.at(request.arrived) + facts.time_left;
+    event.time_left = deadline - clock_.now();
     event.set_size = facts.set_size;
     event.set_start = facts.set_start;
     Live& live = live_.try_emplace(request.id).first->second;
@@ -375,7 +376,7 @@
     live.room = std::move(request.room);
     live.trace = std::move(facts.id);
     open_ids_.insert(live.trace);
-    live.deadline = clock_.now() + event.time_left;
+    live.deadline = deadline;
     waits_.push({live.deadline, request.id, true});
     feed(std::move(event));
 }
--- a/tests/node/gateway_test.cpp
+++ b/tests/node/gateway_test.cpp
@@ -12,11 +12,12 @@
 std::string whole(int rev, const std::string& targets) {
     return R"({"rev":)" + std::to_string(rev) + R"(,"all":true,"targets":[)" + targets + "]}";
 }
-std::string request(const std::string& id, const std::string& more = {}, const std::string& qos = "read") {
+std::string request(const std::string& id, const std::string& more = {}, const std::string& qos = "read",
+                    std::chrono::milliseconds expires_in = 15000ms) {
     return "GET /api/x?y=1 HTTP/1.1\r\nHost: origin.svc\r\nX-Trace-Id: " + id + "\r\nX-Qos: " + qos +
-           "\r\nX-Contract: basic\r\nX-Client-Id: 00000000b4d65521\r\nX-Expires-In-Ms: 15000\r\n"
-           "X-Metering: units=1,spread=1,first=0\r\n" +
-           more + "\r\n";
+           "\r\nX-Contract: basic\r\nX-Client-Id: 00000000b4d65521\r\nX-Expires-In-Ms: " +
+           std::to_string(expires_in.count()) + "\r\nX-Metering: units=1,spread=1,first=0\r\n" + more +
+           "\r\n";
 }
 
 struct GatewayTest : ::testing::Test {
@@ -88,6 +89,47 @@
     EXPECT_EQ(host.peers.size(), 1u);
 }
 
+// A gateway that counts the time of these requests from when it reads them sends them on, and answers long
+// after their clients have given up.
+TEST_F(GatewayTest, ARequestThatExpiresBeforeTheGatewayOpensIsRefusedAtOnce) {
+    listed.clear();
+    extra = R"("known":)" + whole(7, target("h", host.address())) + ",";
+    gateway();
+    Client client(io, address());
+    client.say(request("a", {}, "read", 50ms));
+    ASSERT_TRUE(answered(client));  // once the agent has been waited for
+    EXPECT_EQ(client.answers()[0].result_int(), 429u);
+    EXPECT_TRUE(host.requests.empty());
+}
+
+TEST_F(GatewayTest, ARequestThatExpiresBehindAnotherIsRefusedAtOnce) {
+    std::vector<std::shared_ptr<Server::Peer>> holding;
+    on_request = [&](Server::Peer& p) { holding.push_back(p.shared_from_this()); };
+    ASSERT_TRUE(up());
+    Client client(io, address());
+    client.say(request("a") + request("b", {}, "read", 20ms));
+    ASSERT_TRUE(run_until(io, [&] { return holding.size() == 1; }));
+    ASSERT_TRUE(passed(30ms));
+    holding[0]->ok("served");
+    ASSERT_TRUE(answered(client, 2));
+    EXPECT_EQ(client.answers()[0].result_int(), 200u);
+    EXPECT_EQ(client.answers()[1].result_int(), 429u);
+    EXPECT_EQ(host.requests.size(), 1u);
+}
+
+TEST_F(GatewayTest, ARequestThatExpiresDuringThePauseAfterABadOneIsRefusedAtOnce) {
+    ASSERT_TRUE(up());
+    Client client(io, address());
+    for (std::size_t bad = 1; bad <= 4; ++bad) {  // each makes the pause behind it longer: 160 ms in the end
+        client.say("GET /api HTTP/1.1\r\nHost: x\r\n\r\n");
+        ASSERT_TRUE(answered(client, bad));
+    }
+    client.say(request("a", {}, "read", 5ms));
+    ASSERT_TRUE(answered(client, 5));
+    EXPECT_EQ(client.answers()[4].result_int(), 429u);
+    EXPECT_TRUE(host.requests.empty());
+}
+
 TEST_F(GatewayTest, HealthTellsWhetherRequestsCanBeServed) {
     listed = whole(1, "");
     gateway();
@@ -472,6 +514,30 @@
     EXPECT_EQ(late.answers()[0].result_int(), 200u);
 }
 
+TEST(ClientServer, TheTimeOfARequestRunsWhileItsConnectionWaitsForAPlace) {
+    asio::io_context io;
+    SocketBudget budget(10);  // six for clients
+    std::vector<ClientRequest> taken;
+    ClientServer server(io, any_port(), budget, 1024 * 1024,
+                        {[&](ClientRequest&& r) { taken.push_back(std::move(r)); }, [](std::uint64_t) {},
+                         [] { return true; }});
+    server.open();
+    std::vector<Client> busy;
+    for (int i = 0; i < 6; ++i) {
+        busy.emplace_back(io, server.local_endpoint());
+        busy.back().say(request("busy" + std::to_string(i)));
+    }
+    ASSERT_TRUE(run_until(io, [&] { return taken.size() == 6; }));
+    Client late(io, server.local_endpoint());
+    late.say(request("late"));
+    while (io.poll() > 0) {  // until the server has found no place for it
+    }
+    const auto waiting = Steady::now();
+    busy[3].close();
+    ASSERT_TRUE(run_until(io, [&] { return taken.size() == 7; }));
+    EXPECT_LE(taken.back().arrived, waiting);
+}
+
 TEST_F(GatewayTest, APlannedEndFinishesWhatIsInHand) {
     on_request = [](auto&) {};
     ASSERT_TRUE(up());
