--- /dev/null
+++ b/bench/scale/measure.h
@@ -0,0 +1,32 @@
+// What the scale run measures with: processor time of this thread, bytes of the heap, and summaries of
+// repeats.
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <vector>
+
+namespace silverreach::scale {
+
+// Processor time that this thread has used, in seconds.
+double thread_cpu_seconds();
+// Bytes that the process has allocated and not freed.
+std::size_t heap_bytes();
+// Processor time of `work`, in seconds.
+double cpu_seconds_of(const std::function<void()>& work);
+
+struct Summary {
+    double minimum = 0, median = 0, maximum = 0;
+};
+// Of at least one value.
+Summary summarize(std::vector<double> values);
+// The value that `share` of the values do not exceed; of at least one value.
+double quantile(std::vector<double> values, double share);
+
+struct Point {
+    double size = 0, value = 0;
+};
+// The exponent e of value = c * size^e, by least squares over the logarithms; sizes and values above 0.
+double fitted_exponent(const std::vector<Point>& points);
+
+}  // namespace silverreach::scale
--- /dev/null
+++ b/bench/scale/module_settings.cpp
@@ -0,0 +1,50 @@
+#include "module_settings.h"
+
+namespace silverreach::scale {
+using namespace std::chrono_literals;
+
+namespace {
+// The rates of the largest plan of the first deployment's site.
+constexpr double plan_rate = 50, plan_burst_s = 2;
+constexpr int hosts_in_a_cell = 8;
+}  // namespace
+
+Settings module_settings(int rank, int instances) {
+    Settings settings;
+    settings.rank = rank;
+    settings.instances = instances;
+    settings.zone = "zone-0";
+    settings.classes = {
+        {"lookup", Effect::safe, RepeatScope::all, 250ms, 600ms, 0us, 1, 0},
+        {"issue", Effect::unsafe, RepeatScope::all, 800ms, 2s, 0us, 5, 0},
+    };
+    Plan plan;
+    plan.name = "standard";
+    plan.rate = plan_rate;
+    plan.burst = plan_rate * plan_burst_s;
+    settings.plans = {plan};
+    settings.max_attempts = 3;
+    settings.may_cancel = true;
+    settings.may_message = true;
+    settings.may_advise_retry = true;
+    settings.messages_per_s = 40;
+    settings.most_units = 6;
+    settings.tick = 2ms;
+    settings.connect_time = 250ms;
+    settings.cold_time = 10s;
+    settings.fall_time = 1s;
+    settings.fall_multiple = 2.5;
+    settings.start_capacity = 0.15;
+    return settings;
+}
+
+HostEntry host_entry(int number, int zones, int generation) {
+    HostEntry entry;
+    entry.host = "s-" + std::to_string(1000000 + number) + '-' + std::to_string(generation);
+    entry.zone = "zone-" + std::to_string(number % zones);
+    entry.kind = "std-2c";
+    entry.cell = number / hosts_in_a_cell;
+    return entry;
+}
+
+}  // namespace silverreach::scale
