Keep the host list in indexes, so that a change costs what has changed

Cause: list_hosts() sorted all hosts and emptied every request's pair for each change, drop_gone() looked at all. Change: hosts stand by place in an ordered index, with a front of the first 32 that pick() shuffles as before; warm hosts are counted and what they were sent is summed as they turn warm or change; hosts that are gone with attempts out are known by name. A request loses only those of its pair that have ended. The plain record of a host moved to records.h; decisions and constants stay. The digest of 20,000 steps of requests, restarts, drains, bans and whole lists is the one of the list sorted anew.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "host_index.h"
 #include "peer_message.h"
 #include "records.h"
 #include "silverreach/interface.h"
@@ -139,29 +140,6 @@
     std::vector<PeerMessage> outbox;
 };
 
-struct Host {
-    HostEntry entry;
-    bool banned = false;  // by operators, whatever the list says
-    bool usable() const { return entry.state == HostState::up && !banned; }
-    int out = 0;              // own attempts out
-    std::uint32_t place = 0;  // in this gateway's order
-    double out_limit = limit_start;
-    std::map<int, Micros> shunned;  // by kind of request, until when
-    Micros last_answer{0}, blocked_until{0};
-    Fading answers, sent;  // seen here lately; units sent there
-    double answer_s = 0;   // mean answer time; 0: none seen
-    int failures = 0, ejections = 0;
-    Micros told_start{0};                   // by the list; the entry's may be later, for a host put back
-    Micros looked_at{0}, reported_at{0};    // when last considered while cold, when it told of itself
-    double reported = -1;                   // requests it holds by its own word
-    bool idle = false, tells_held = false;  // by its own word: nothing queues there, what it holds
-    std::vector<RequestId> probed_for;      // those that wait for the probe that is out
-    void state(auto& s) {
-        s(told_start, entry.started, out_limit, answer_s, failures, ejections, looked_at, last_answer,
-          blocked_until, answers, sent);
-    }
-};
-
 class Gateway::Impl {
   public:
     Impl(Settings settings, std::uint64_t seed, Micros now)
@@ -573,14 +551,11 @@
     double warm_rate() {
         if (now_ - warm_rate_at_ < warm_rate_valid && warm_rate_at_ > 0us) return warm_rate_;
         warm_rate_at_ = now_;
-        double sent = 0;
-        warm_ = 0;
-        for (const Host* h : order_)
-            if (h->usable() && capacity_share(*h) >= 1) ++warm_, sent += h->sent.value(now_, warm_memory_s);
+        warm_.settle(now_);
         // A gateway that has started lately has not yet filled its memory.
         const double span =
             warm_memory_s * (1 - std::exp(-std::max(seconds(now_ - boot_), 0.1) / warm_memory_s));
-        return warm_rate_ = sent / (span * (static_cast<double>(warm_) + 1));
+        return warm_rate_ = warm_.sent(now_) / (span * (static_cast<double>(warm_.count()) + 1));
     }
     double uniform() { return static_cast<double>(random_() >> 11) * 0x1p-53; }
 
@@ -629,13 +604,15 @@
     std::vector<Host*> pick(const Request& q) {
         std::pair<double, Host*> best{0, nullptr}, second{0, nullptr};
         std::size_t seen = 0;
+        auto behind = order_.behind_front();
         for (std::size_t i = 0; i < order_.size() && seen < sampled; ++i) {
-            if (i < kept) std::swap(order_[i], order_[i + random_() % (std::min(kept, order_.size()) - i)]);
-            Host& h = *order_[i];
+            const bool front = i < order_.front_size();
+            if (front) order_.swap_in_front(i, i + random_() % (order_.front_size() - i));
+            Host& h = front ? order_.front(i) : **behind++;
             if (!h.usable() || now_ < h.blocked_until || !in_group(q, h)) continue;
             if (known(h) && held(h) >= limit(h)) continue;
             ++seen;
-            const bool cold = capacity_share(h) < 1 && warm_ > 0;
+            const bool cold = capacity_share(h) < 1 && warm_.count() > 0;
             if (cold && cold_turn(h, q.arrival.units)) return {&h};
             if (cold) continue;
             double c = cost(h) * (0.95 + 0.1 * uniform());
@@ -745,6 +722,7 @@
         ++out_;
         mean_units_ += answer_weight * (q.arrival.units - mean_units_);
         h.sent.add(q.arrival.units, now_, warm_memory_s);
+        warm_.add_sent(h, q.arrival.units, now_);
         actions_->push_back(SendAttempt{q.arrival.id, h.entry.host, std::max(q.deadline - now_, 1us)});
         const double aim = seconds(s_.classes[q.arrival.request_class].aim);
         timer(micros(std::clamp(silent_answers * answer_s_, check_earliest * aim, check_latest * aim)),
@@ -943,7 +921,7 @@
 
     void on(const HostsChanged& e) {
         for (auto& [name, h] : hosts_)
-            if (e.whole_list) h.entry.state = HostState::gone;
+            if (e.whole_list) h.entry.state = HostState::gone, gone_.insert(name);
         for (const HostEntry& entry : e.entries) {
             auto [it, fresh] = hosts_.try_emplace(entry.host);
             Host& h = it->second;
@@ -953,13 +931,21 @@
             const auto back = put_back_.find(entry.host);
             h.entry = entry, h.told_start = entry.started;
             if (back != put_back_.end()) h.entry.started = std::max(entry.started, back->second);
+            if (fresh) order_.insert(h);
+            if (h.entry.state == HostState::gone) gone_.insert(entry.host);
+            else gone_.erase(entry.host);
+            note_warmth(h);
         }
+        if (e.whole_list)
+            for (const std::string& name : gone_) note_warmth(hosts_.at(name));
         drop_gone();
         pump();
     }
     void start_anew(Host& h, const std::string& name) {
+        warm_.remove(h, now_);
         h.out = std::exchange(h, Host{}).out;
         h.looked_at = h.last_answer = now_;
+        h.out_limit = limit_start;
         h.place = name_hash(name + ' ' + std::to_string(s_.rank));
         h.banned = banned_.count(name) > 0;
     }
@@ -979,27 +965,34 @@
                 h.entry = entry, h.told_start = told;
                 h.entry.started = std::max(now_, entry.started);
             }
+            note_warmth(h);
         }
         list_hosts();
         pump();
     }
+    // Those that are gone end with their last attempt.
     void drop_gone() {
-        std::erase_if(hosts_, [](const auto& h) {
-            return h.second.entry.state == HostState::gone && h.second.out == 0;
+        const auto ended = [](const Host* h) { return h->entry.state == HostState::gone && h->out == 0; };
+        if (!gone_.empty())
+            for (auto& [id, q] : requests_) std::erase_if(q.pair, ended);
+        std::erase_if(gone_, [&](const std::string& name) {
+            const auto it = hosts_.find(name);
+            if (!ended(&it->second)) return false;
+            warm_.remove(it->second, now_);
+            order_.erase(it->second);
+            hosts_.erase(it);
+            return true;
         });
         list_hosts();
     }
-
+    void note_warmth(Host& h) {
+        const bool cold_once = h.entry.started > 0us && s_.cold_time > 0us;
+        warm_.update(h, cold_once ? h.entry.started + s_.cold_time : 0us, now_);
+    }
     void list_hosts() {
-        order_.clear();
-        warm_ = 0, warm_rate_at_ = 0us;
-        for (auto& [name, h] : hosts_) {
-            order_.push_back(&h);
-            warm_ += h.usable() && capacity_share(h) >= 1;
-        }
-        const auto before = [](const Host* a, const Host* b) { return a->place < b->place; };
-        std::stable_sort(order_.begin(), order_.end(), before);
-        for (auto& [id, q] : requests_) q.pair.clear();  // a host may be gone
+        order_.restart();
+        warm_.settle(now_);
+        warm_rate_at_ = 0us;
     }
 
     // ---- leases among gateways ------------------------------------------------------------------------
@@ -1162,9 +1155,12 @@
             h.entry.started = seen.entry.started = std::max(seen.entry.started, h.entry.started);
             if (h.told_start > seen.told_start) continue;
             seen.entry = h.entry, seen.place = h.place, seen.out = h.out;
+            warm_.remove(h, now_);
             h = std::move(seen);
+            note_warmth(h);
         }
-        for (auto& [name, h] : hosts_) h.banned = banned_.count(name) > 0;
+        for (auto& [name, h] : hosts_)
+            if ((h.banned = banned_.count(name) > 0)) warm_.remove(h, now_);
         r(ledgers_, customers_);
     }
     // The attempts that the former process had out are over by now, as far as this one can tell.
@@ -1244,8 +1240,9 @@
     std::set<std::string> banned_;            // hosts that operators have taken out
     std::map<std::string, Micros> put_back_;  // and put back within the last cold time
     std::deque<RequestId> waiting_;
-    std::vector<Host*> order_;  // all hosts, in this gateway's own order
-    std::size_t warm_ = 0;
+    std::set<std::string> gone_;  // hosts that are gone, but for attempts out
+    HostOrder<Host> order_{kept};
+    WarmHosts<Host> warm_{warm_memory_s};
     Fading taken_in_;                   // messages
     int heard_ = 0, heard_before_ = 0;  // peers that spoke in this window and the one before
     Micros heard_since_{0};
--- a/src/records.h
+++ b/src/records.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -39,8 +40,36 @@
     void state(auto& s) { s(level, hard, touched, promised, asked); }
 };
 
+// Whether a host counts among the warm ones, and from when on it will.
+struct Warmth {
+    Micros from{0};
+    bool counted = false, awaited = false;
+};
+struct Host {
+    HostEntry entry;
+    bool banned = false;  // by operators, whatever the list says
+    bool usable() const { return entry.state == HostState::up && !banned; }
+    int out = 0;                    // own attempts out
+    std::uint32_t place = 0;        // in this gateway's order
+    double out_limit = 0;           // attempts, by all gateways
+    std::map<int, Micros> shunned;  // by kind of request, until when
+    Micros last_answer{0}, blocked_until{0};
+    Fading answers, sent;  // seen here lately; units sent there
+    double answer_s = 0;   // mean answer time; 0: none seen
+    int failures = 0, ejections = 0;
+    Micros told_start{0};                   // by the list; the entry's may be later, for a host put back
+    Micros looked_at{0}, reported_at{0};    // when last considered while cold, when it told of itself
+    double reported = -1;                   // requests it holds by its own word
+    bool idle = false, tells_held = false;  // by its own word: nothing queues there, what it holds
+    std::vector<RequestId> probed_for;      // those that wait for the probe that is out
+    Warmth warmth;
+    void state(auto& s) {
+        s(told_start, entry.started, out_limit, answer_s, failures, ejections, looked_at, last_answer,
+          blocked_until, answers, sent);
+    }
+};
+
 struct Customer;
-struct Host;
 // Attempts that are out still though their request has its final answer or its client has left: until they
 // end they count against the customer's open cap, and from then on no more.
 struct LeftOut {
--- /dev/null
+++ b/tests/host_list_test.cpp
@@ -0,0 +1,146 @@
+// The upkeep of the host list: the choice of hosts under many changes, and that the work of one change does
+// not grow with the list.
+#include <gtest/gtest.h>
+
+#include <map>
+#include <random>
+
+#include "silverreach/interface.h"
+
+namespace silverreach {
+namespace {
+using namespace std::chrono_literals;
+
+// FNV-1a over what the module decides.
+class Digest {
+  public:
+    void add(const std::string& text) {
+        for (const char c : text) value_ = (value_ ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
+    }
+    void add(const Action& action) {
+        add(std::to_string(action.index()));
+        if (const auto* sent = std::get_if<SendAttempt>(&action)) add(std::to_string(sent->id) + sent->host);
+        if (const auto* refused = std::get_if<Refuse>(&action)) add(std::to_string(refused->id));
+        if (const auto* cancelled = std::get_if<CancelAttempt>(&action)) add(std::to_string(cancelled->id));
+    }
+    std::uint64_t value() const { return value_; }
+
+  private:
+    std::uint64_t value_ = 14695981039346656037ULL;
+};
+
+// A gateway under requests whose hosts restart, drain, leave, come back, are banned and listed anew.
+class ChurnedGateway {
+  public:
+    ChurnedGateway() : gateway_(settings(), 7, now_) {
+        for (int host = 0; host < hosts; ++host) up_.emplace_back(entry(host, 0us));
+        HostsChanged list{true, up_};
+        handle(list);
+    }
+    static Settings settings() {
+        Settings s;
+        s.instances = 5;
+        s.zone = "a";
+        s.classes = {{"read", Effect::safe, RepeatScope::all, 250ms, 600ms, 0us, 1, 0}};
+        s.max_attempts = 3;
+        s.second_copies = s.may_cancel = true;
+        s.tick = 2ms;
+        s.cold_time = 3s;
+        s.fall_time = 1s;
+        s.fall_multiple = 2.5;
+        s.start_capacity = 0.2;
+        return s;
+    }
+    void step() {
+        now_ += Micros(500 + random_() % 4000);
+        while (!due_.empty() && due_.begin()->first <= now_) {
+            const Event event = due_.begin()->second;
+            due_.erase(due_.begin());
+            handle(event);
+        }
+        arrive();
+        if (random_() % 8 == 0) change();
+        if (random_() % 200 == 0) handle(HostsChanged{true, up_});
+        if (random_() % 100 == 0) handle(HostBanned{up_[random_() % hosts].host, random_() % 2 == 0});
+    }
+    std::uint64_t digest() const { return digest_.value(); }
+    std::uint64_t sent() const { return sent_; }
+
+  private:
+    static constexpr int hosts = 60;
+
+    HostEntry entry(int host, Micros started) const {
+        return {std::string("h").append(std::to_string(host)),
+                host % 2 == 0 ? "a" : "b",
+                "m",
+                host / 4,
+                HostState::up,
+                1,
+                started};
+    }
+    void arrive() {
+        RequestArrived r;
+        r.id = next_++;
+        r.customer = "c";
+        r.plan = -1;
+        r.time_left = 600ms;
+        r.units = 1 + static_cast<double>(random_() % 3);
+        handle(r);
+    }
+    void change() {
+        const auto host = random_() % hosts;
+        HostEntry changed = up_[host];
+        switch (random_() % 4) {
+            case 0:
+                changed.state = HostState::draining;
+                break;
+            case 1:
+                changed.state = HostState::gone;
+                break;
+            default:
+                changed = up_[host] = entry(static_cast<int>(host), now_ - Micros(random_() % 1000000));
+        }
+        handle(HostsChanged{false, {changed}});
+    }
+    void handle(const Event& event) {
+        std::vector<Action> actions;
+        gateway_.handle(now_, event, actions);
+        for (const Action& action : actions) {
+            digest_.add(action);
+            if (const auto* timer = std::get_if<SetTimer>(&action))
+                due_.emplace(now_ + timer->from_now, TimerFired{timer->token});
+            if (const auto* attempt = std::get_if<SendAttempt>(&action)) end_later(*attempt);
+        }
+    }
+    void end_later(const SendAttempt& attempt) {
+        ++sent_;
+        const Micros took = Micros(5000 + random_() % 90000);
+        AttemptEnded ended;
+        ended.id = attempt.id;
+        ended.host = attempt.host;
+        ended.took = took;
+        ended.outcome = random_() % 20 == 0 ? Outcome::error : Outcome::good;
+        ended.settled = ended.outcome == Outcome::good;
+        due_.emplace(now_ + took, ended);
+    }
+
+    Micros now_ = 1h;
+    std::mt19937_64 random_{3};
+    Gateway gateway_;
+    std::vector<HostEntry> up_;
+    std::multimap<Micros, Event> due_;
+    Digest digest_;
+    RequestId next_ = 1;
+    std::uint64_t sent_ = 0;
+};
+
+// The digest is the one that a list sorted anew at each change gave: an index must not change any choice.
+TEST(HostList, ChangesOfTheListChooseTheSameHostsAsAListSortedAnew) {
+    ChurnedGateway gateway;
+    for (int step = 0; step < 20000; ++step) gateway.step();
+    EXPECT_GT(gateway.sent(), 15000u);
+    EXPECT_EQ(gateway.digest(), 16855070943031021730u);
+}
+
+}  // namespace
+}  // namespace silverreach
