Wait longer for discovery after each call given up

Cause: pace_among() left up to six gateways a fixed patience and a fixed pause, src/node/discovery.h. Change: the patience doubles with each answer that does not come, up to 1.6 s, and the pause with each failure, up to 1.6 s and half by chance; the first list resets both. Pushed lists and more gateways keep their pace. The test's agent takes 700 ms for a call; with the fixed patience it is never heard.

--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -23,10 +23,10 @@
 
 WatchPace Discovery::pace_among(int gateways, bool pushed) {
     WatchPace pace;
-    if (pushed) return {pace.hold, prompt, reconnect_first, reconnect_most, true};
+    if (pushed) return {pace.hold, prompt, prompt, reconnect_first, reconnect_most, true};
     if (gateways <= few_gateways) return pace;
     pace.hold = std::min<std::chrono::milliseconds>(hold_most, 1000ms * gateways / few_gateways);
-    pace.patience = patience_of_many;
+    pace.patience = pace.patience_most = patience_of_many;
     pace.pause_first =
         std::clamp<std::chrono::milliseconds>(10ms * gateways, pace.pause_first, pause_most_of_many);
     pace.pause_most = pause_most_of_many;
@@ -39,6 +39,7 @@
       on_list_(std::move(on_list)),
       pace_(pace),
       random_(static_cast<std::uint32_t>(seed ^ seed >> 32)),
+      patience_next_(pace.patience),
       pause_next_(pace.pause_first),
       stream_(io),
       pause_(io) {
@@ -54,6 +55,7 @@
     if (stopped_ || agent == agent_) return;
     agent_ = agent;
     failing_ = false;
+    patience_next_ = pace_.patience;
     pause_next_ = pace_.pause_first;
     start_over();
     version_.reset();
@@ -80,7 +82,7 @@
 
 void Discovery::ask() {
     if (stopped_) return;
-    stream_.expires_after(pace_.patience);
+    stream_.expires_after(patience_next_);
     if (connected_) return send();
     under_way_ = true;
     stream_.async_connect(agent_, [this, at = generation_](error_code ec) {
@@ -101,7 +103,7 @@
     if (version_)
         request_ += "?from=" + std::to_string(*version_) + "&hold_ms=" + std::to_string(hold.count());
     request_ += " HTTP/1.1\r\nHost: discovery\r\n\r\n";
-    stream_.expires_after(hold + pace_.patience);
+    stream_.expires_after(hold + patience_next_);
     under_way_ = true;
     boost::asio::async_write(stream_, boost::asio::buffer(request_),
                              [this, at = generation_](error_code ec, std::size_t) {
@@ -142,6 +144,7 @@
         return ask_anew(error.what());
     }
     failing_ = false;
+    patience_next_ = pace_.patience;
     pause_next_ = pace_.pause_first;
     version_ = list.version;
     on_list_(list);
@@ -156,6 +159,7 @@
     if (lost == Lost::connection) version_.reset();
     // What a silent watch misses counts as told some seconds on: it has waited long enough.
     if (lost == Lost::silent && (pace_.free || (first && waits_))) return ask();
+    if (lost == Lost::silent) patience_next_ = std::min(pace_.patience_most, patience_next_ * 2);
     // Half of it by chance, so that those turned away together do not come again together.
     const auto half = std::chrono::duration_cast<std::chrono::microseconds>(pause_next_) / 2;
     const bool steady = pace_.pause_first == pace_.pause_most;
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -19,10 +19,13 @@
 namespace spartrack {
 
 // How long a watch is held, how long beyond that an answer may take, and how long after a failure the next
-// call waits: twice as long with each further one in a row, `pause_most` at most, and not all at once. Where
-// asking is free, silence is wait enough.
+// call waits. Answers that do not come and failures in a row double the latter two, up to `patience_most` and
+// `pause_most`, and gateways do not ask all at once: discovery goes on working at calls that were given up,
+// so that a short patience kept up by all would leave none of them an answer. Where asking is free, silence
+// is wait enough.
 struct WatchPace {
-    std::chrono::milliseconds hold{1000}, patience{400}, pause_first{100}, pause_most{100};
+    std::chrono::milliseconds hold{1000}, patience{400}, patience_most{1600};
+    std::chrono::milliseconds pause_first{100}, pause_most{1600};
     bool free = false;
 };
 
@@ -59,7 +62,7 @@
     OnList on_list_;
     WatchPace pace_;
     std::minstd_rand random_;
-    std::chrono::milliseconds pause_next_;
+    std::chrono::milliseconds patience_next_, pause_next_;
     boost::beast::tcp_stream stream_;
     boost::asio::steady_timer pause_;
     boost::beast::flat_buffer buffer_;
--- a/tests/node/watch_test.cpp
+++ b/tests/node/watch_test.cpp
@@ -86,7 +86,7 @@
         else if (at.size() < 5) p.say("HTTP/1.1 503 X\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
     });
     Discovery watch(
-        io, agent.endpoint(), [](const TargetList&) {}, {100ms, 400ms, 40ms, 160ms}, 5);
+        io, agent.endpoint(), [](const TargetList&) {}, {100ms, 400ms, 400ms, 40ms, 160ms}, 5);
     ASSERT_TRUE(run_until(io, [&] { return at.size() == 5; }));
     for (std::size_t i = 1; i < 5; ++i) EXPECT_EQ(agent.targets[i].substr(0, 24), "/catalog/members?from=7&");
     EXPECT_GE(at[2] - at[1], 20ms);
@@ -97,6 +97,26 @@
     EXPECT_LE(of_many.pause_first, of_many.pause_most);
 }
 
+// Found on harbor-yard's short days: after their watches had been reset, six gateways gave up their calls
+// after 400 ms each and asked again, and discovery, still at work on those given up, answered none of four
+// for 24 s.
+TEST(Discovery, AnOverloadedAgentIsWaitedForLongerAfterEachCallGivenUp) {
+    asio::io_context io;
+    std::vector<std::unique_ptr<asio::steady_timer>> work;
+    Server agent(io, [&](Server::Peer& p) {
+        work.push_back(std::make_unique<asio::steady_timer>(io, 700ms));  // longer than the first patience
+        work.back()->async_wait([peer = p.shared_from_this()](error_code) {
+            if (!peer->closed) peer->ok(list(7, true, "ready"));
+        });
+    });
+    bool told = false;
+    Discovery watch(io, agent.endpoint(), [&](const TargetList&) { told = true; });
+    EXPECT_TRUE(run_until(io, [&] { return told; }));
+    const WatchPace pace = Discovery::pace_among(6, false);
+    // News count as told 6 s after discovery had them and could be reached, whatever failed before.
+    EXPECT_LT(pace.pause_most + pace.patience_most, 6s);
+}
+
 // Found on the large days: 300 gateways waited for 1.5 to 3 s after a silent watch and for up to 2 s between
 // asks, while all that the agent had counted as told.
 TEST(Discovery, AnAgentThatHasPushedListsIsAskedAgainWithoutAPause) {
@@ -132,7 +152,7 @@
         if (at.size() == 1) p.ok(list(7, true, "ready"));
     });
     Discovery watch(
-        io, agent.endpoint(), [](const TargetList&) {}, {50ms, 40ms, 15s, 15s}, 5);
+        io, agent.endpoint(), [](const TargetList&) {}, {50ms, 40ms, 40ms, 15s, 15s}, 5);
     ASSERT_TRUE(run_until(io, [&] { return at.size() == 3; }));
     EXPECT_LT(at[2] - at[1], 7s);
     EXPECT_EQ(agent.targets[2], "/catalog/members?from=7&hold_ms=50");
