Wait for a list as long as it goes on, and run real gateways in the scale run

Seen with the new command `scale_run gateway` (a stand-in of discovery on loopback, a real gateway, hosts listed, changes a second): with 150,000 hosts and other load on the machine the gateway never took its list of 21 MB and asked for it seven times a second, as the patience for an agent that answers at once, 100 ms, was for the whole answer. Change: patience is for silence; from its first byte to its last a list has 2 s. The test's list comes in six pieces, each within the patience and all beyond it.

--- a/bench/scale/main.cpp
+++ b/bench/scale/main.cpp
@@ -2,9 +2,12 @@
 // standard error; 0 where it ran through, else a plain error and no run.
 #include <CLI/CLI.hpp>
 #include <algorithm>
+#include <cstdio>
+#include <exception>
 #include <string>
 #include <vector>
 
+#include "gateway_run.h"
 #include "sweeps.h"
 
 namespace scale = silverreach::scale;
@@ -58,6 +61,19 @@
     fleet_command->add_option("--repeats", fleet.repeats, "plays of each point")->check(CLI::Range(1, 100));
     fleet_command->add_option("--seed", fleet.seed, "of the random numbers");
 
+    scale::GatewayRun gateway;
+    CLI::App* gateway_command = app.add_subcommand("gateway", "a real gateway under a list that changes");
+    gateway_command->add_option("--program", gateway.program, "the gateway's program")
+        ->required()
+        ->check(CLI::ExistingFile);
+    gateway_command->add_option("--hosts", gateway.hosts, "hosts listed, a run each")
+        ->delimiter(',')
+        ->check(CLI::Range(15, most_hosts));
+    gateway_command->add_option("--changes", gateway.changes_per_s, "changed hosts a second")
+        ->check(CLI::Range(0.1, 1000.0));
+    gateway_command->add_option("--seconds", gateway.seconds, "time that is measured")
+        ->check(CLI::Range(1.0, 600.0));
+
     try {
         app.parse(argc, argv);
         if (host_command->parsed()) {
@@ -70,8 +86,15 @@
                            memory_mb);
             scale::run(fleet);
         }
+        if (gateway_command->parsed()) {
+            require_memory(largest(gateway.hosts) * bytes_of_a_host, memory_mb);
+            scale::run(gateway);
+        }
     } catch (const CLI::ParseError& error) {
         return app.exit(error);
+    } catch (const std::exception& error) {
+        std::fprintf(stderr, "scale_run: %s\n", error.what());
+        return 1;
     }
     return 0;
 }
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -18,6 +18,8 @@
 // Of an agent that answers at once: it is silent after this, and a connection to it is tried again after
 // that.
 constexpr auto prompt = 100ms, reconnect_first = 5ms, reconnect_most = 80ms;
+// From its first byte to its last.
+constexpr auto list_time_most = 2s;
 // A list of 150,000 hosts has 23 MB.
 constexpr std::size_t most_list = 32 * 1024 * 1024;
 }  // namespace
@@ -118,22 +120,35 @@
     parser_.emplace();
     parser_->header_limit(most_header);
     parser_->body_limit(most_list);
+    whole_by_.reset();
+    receive_more();
+}
+
+// Patience is for silence, not for length: a long list may take its time, within a bound, while it goes on.
+void Discovery::receive_more() {
     under_way_ = true;
-    http::async_read(stream_, buffer_, *parser_, [this, at = generation_](error_code ec, std::size_t) {
+    http::async_read_some(stream_, buffer_, *parser_, [this, at = generation_](error_code ec, std::size_t) {
         if (!goes_on(at)) return;
         if (ec == beast::error::timeout) return ask_anew("is silent", Lost::silent);
         if (ec) return ask_anew("broke off");
-        const auto answer = parser_->release();
-        if (answer.result() != http::status::ok) return ask_anew("answers no list", Lost::no_room);
-        const bool keep = answer.keep_alive();
-        if (!keep) {
-            connected_ = false;
-            stream_.close();
-        }
-        take(answer.body());
+        if (parser_->is_done()) return take_answer();
+        const auto now = std::chrono::steady_clock::now();
+        if (!whole_by_) whole_by_ = now + list_time_most;
+        stream_.expires_at(std::min(*whole_by_, now + patience_next_));
+        receive_more();
     });
 }
 
+void Discovery::take_answer() {
+    const auto answer = parser_->release();
+    if (answer.result() != http::status::ok) return ask_anew("answers no list", Lost::no_room);
+    if (!answer.keep_alive()) {
+        connected_ = false;
+        stream_.close();
+    }
+    take(answer.body());
+}
+
 void Discovery::take(const std::string& body) {
     TargetList list;
     try {
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -52,6 +52,8 @@
     void ask();
     void send();
     void receive();
+    void receive_more();
+    void take_answer();
     void take(const std::string& body);
     enum class Lost { connection, no_room, silent };
     void ask_anew(const char* what, Lost lost = Lost::connection);
@@ -67,6 +69,7 @@
     boost::asio::steady_timer pause_;
     boost::beast::flat_buffer buffer_;
     std::optional<http::response_parser<http::string_body>> parser_;
+    std::optional<std::chrono::steady_clock::time_point> whole_by_;  // once the answer has begun
     std::string request_;
     std::optional<std::int64_t> version_;
     bool connected_ = false, failing_ = false, stopped_ = false;
--- a/tests/node/watch_test.cpp
+++ b/tests/node/watch_test.cpp
@@ -201,6 +201,32 @@
     EXPECT_EQ(taken, static_cast<std::size_t>(hosts));
 }
 
+// With patience for the whole answer, a list that takes longer than that was never taken.
+TEST(Discovery, WaitsForAListAsLongAsItGoesOn) {
+    asio::io_context io;
+    const std::string body = list(7, true, "ready");
+    constexpr std::size_t pieces = 6;
+    std::size_t told = 0;
+    asio::steady_timer next(io);
+    std::function<void(Server::Peer&)> tell_piece = [&](Server::Peer& p) {
+        if (p.closed || told == pieces) return;
+        p.say(body.substr(told * body.size() / pieces,
+                          (told + 1) * body.size() / pieces - told * body.size() / pieces));
+        ++told;
+        next.expires_after(60ms);
+        next.async_wait([&, peer = p.shared_from_this()](error_code) { tell_piece(*peer); });
+    };
+    Server agent(io, [&](Server::Peer& p) {
+        if (told > 0) return;
+        p.say("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n");
+        tell_piece(p);
+    });
+    bool taken = false;
+    Discovery watch(
+        io, agent.endpoint(), [&](const TargetList&) { taken = true; }, {50ms, 250ms, 250ms, 15s, 15s}, 5);
+    ASSERT_TRUE(run_until(io, [&] { return taken; }));
+}
+
 TEST(PeerLink, KnowsSendersByAddressAndDropsOthers) {
     asio::io_context io;
     using Udp = asio::ip::udp;
