--- a/src/benchlink/link.cpp
+++ b/src/benchlink/link.cpp
@@ -182,14 +182,10 @@
         if (row.present(2)) entry.kind = as_text(row.at[2], "hw");
         if (row.present(3)) entry.cell = as_integer(row.at[3], "pack");
         const std::string_view health = as_text(row.get(4, "health"), "health");
-        if (health == "U")
-            entry.state = HostState::up;
-        else if (health == "L")
-            entry.state = HostState::draining;
-        else if (health == "D")
-            entry.state = HostState::gone;
-        else
-            bad("health", "U, L or D");
+        if (health == "U") entry.state = HostState::up;
+        else if (health == "L") entry.state = HostState::draining;
+        else if (health == "D") entry.state = HostState::gone;
+        else bad("health", "U, L or D");
         if (row.present(5)) entry.weight = as_number(row.at[5], "weight");
         if (row.present(6)) entry.started = Micros(as_integer(row.at[6], "bootTimeUs"));
         entries.push_back(std::move(entry));
@@ -328,10 +324,8 @@
         void operator()(const LeaveState&) const {}  // the simulator knows no upgrades
         void operator()(const SendMessage& a) const {
             s.open("WritePeer", number);
-            if (a.to < 0)
-                s.put(std::string_view("*"));
-            else
-                s.put(static_cast<std::uint64_t>(a.to));
+            if (a.to < 0) s.put(std::string_view("*"));
+            else s.put(static_cast<std::uint64_t>(a.to));
             s.reply.append(",\"");
             append_base64(s.reply, a.bytes);
             s.reply.push_back('"');
--- a/src/json/settings.cpp
+++ b/src/json/settings.cpp
@@ -6,14 +6,10 @@
     RequestClass c;
     c.name = as_text(required(o, "name"), "name");
     const std::string_view effect = as_text(required(o, "effect"), "effect");
-    if (effect == "retryable")
-        c.effect = Effect::safe;
-    else if (effect == "dedup")
-        c.effect = Effect::keyed;
-    else if (effect == "fragile")
-        c.effect = Effect::unsafe;
-    else
-        bad("effect", "retryable, dedup or fragile");
+    if (effect == "retryable") c.effect = Effect::safe;
+    else if (effect == "dedup") c.effect = Effect::keyed;
+    else if (effect == "fragile") c.effect = Effect::unsafe;
+    else bad("effect", "retryable, dedup or fragile");
     if (auto scope = optional_key(o, "dedupScope")) {
         const std::string_view name = as_text(*scope, "dedupScope");
         c.repeat_scope = name == "all"    ? RepeatScope::all
--- a/src/json/settings.h
+++ b/src/json/settings.h
@@ -1,4 +1,5 @@
-// The settings object that the simulator and a real gateway's configuration share, read into the module's type.
+// The settings object that the simulator and a real gateway's configuration share, read into the module's
+// type.
 #pragma once
 
 #include "fields.h"
--- a/tests/package/main.cpp
+++ b/tests/package/main.cpp
@@ -1,6 +1,7 @@
-#include <cstdio>
 #include <silverreach/interface.h>
 
+#include <cstdio>
+
 int main() {
     using namespace silverreach;
     using namespace std::chrono_literals;
@@ -14,5 +15,6 @@
     request.id = 7, request.customer = "c1", request.time_left = 2s;
     gateway.handle(1s, request, actions);
     for (const Action& action : actions)
-        if (const auto* send = std::get_if<SendAttempt>(&action)) std::printf("send to %s\n", send->host.c_str());
+        if (const auto* send = std::get_if<SendAttempt>(&action))
+            std::printf("send to %s\n", send->host.c_str());
 }
