Count requests from the listening on, and look whether a connection waits for its turn

Cause: connections that came between listening and the first accept counted from the accept. Beside that, the state "connections may have waited since" ended only when an accept found none, which under lasting shortage is never: what later connections asked would have counted as expired. Change: the backlog counts from the listening; after each accept a poll tells whether a connection waits; one that has its turn came 0.5 s before it at the most.

--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -1,6 +1,7 @@
 #include "client_server.h"
 
 #include <fcntl.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -43,6 +44,9 @@
 constexpr std::chrono::milliseconds newcomer_grace = 50ms;
 // After a request that should not have been sent; doubled with each further one in a row.
 constexpr std::chrono::milliseconds pause_first = 20ms, pause_most = 640ms;
+// While connections wait for a place all the time, nothing tells when the next of them came: this much before
+// its turn at the most, or all that they ask would count as expired.
+constexpr auto backlog_age_most = 500ms;
 constexpr auto accept_again = 20ms;  // after an accept that failed for want of something
 }  // namespace
 
@@ -477,7 +481,8 @@
       acceptor_(io),
       accept_pause_(io),
       sweep_timer_(io),
-      bodies_(most_bytes) {
+      bodies_(most_bytes),
+      backlog_since_(Steady::now()) {  // who connects before the loop runs waits from the listening on
     if (listener) {
         acceptor_.assign(listen.protocol(), listener.release());
     } else {
@@ -518,10 +523,9 @@
         accepting_ = false;
         if (waited || pass_ || !acceptor_.is_open()) return;
         error_code ec;
-        bool had_place = take_one(ec);
-        while (had_place && !ec && backlog_since_) had_place = take_one(ec);
-        if (ec == asio::error::would_block || ec == asio::error::try_again) backlog_since_.reset();
-        else if ((!had_place || ec) && !backlog_since_) backlog_since_ = Steady::now();
+        const bool had_place = take_one(ec);
+        if (!connection_waits()) backlog_since_.reset();
+        else if (!backlog_since_) backlog_since_ = Steady::now();
         if (!had_place) {
             starved_ = true;
             return;
@@ -542,6 +546,16 @@
     });
 }
 
+bool ClientServer::connection_waits() {
+    pollfd listener{acceptor_.native_handle(), POLLIN, 0};
+    return ::poll(&listener, 1, 0) > 0;
+}
+// Never later than the connection at the head of the backlog did come, but for one that has waited very long.
+Steady::time_point ClientServer::came_by() const {
+    const auto now = Steady::now();
+    return std::max(backlog_since_.value_or(now), now - backlog_age_most);
+}
+
 // False where no place was left for it.
 bool ClientServer::take_one(error_code& ec) {
     std::optional<SocketBudget::Place> place = budget_.take(SocketBudget::Side::client);
@@ -549,8 +563,7 @@
     tcp::socket socket(io_);
     acceptor_.accept(socket, ec);
     if (ec) return true;
-    const auto taken = std::make_shared<Connection>(*this, std::move(socket), std::move(*place),
-                                                    backlog_since_.value_or(Steady::now()));
+    const auto taken = std::make_shared<Connection>(*this, std::move(socket), std::move(*place), came_by());
     taken->self = newcomers_.insert(newcomers_.end(), taken);
     taken->list = &newcomers_;
     taken->start();
--- a/src/node/client_server.h
+++ b/src/node/client_server.h
@@ -90,6 +90,8 @@
     bool leaving() const { return (draining_ && !pass_) || standby_; }
     void close_idle();
     bool take_one(boost::system::error_code& ec);
+    bool connection_waits();
+    Steady::time_point came_by() const;
     std::shared_ptr<Connection> take_from_hand(std::uint64_t id);
     bool close_one_newcomer(std::chrono::steady_clock::duration silent_for);
     bool close_one_idle();
@@ -104,12 +106,12 @@
     boost::asio::steady_timer accept_pause_, sweep_timer_;
     Pass pass_;  // while another process takes the clients
     ByteBudget bodies_;
+    std::optional<Steady::time_point> backlog_since_;  // connections may have waited for a place from then on
     // Those that have not sent a whole request yet and those that end, and those that have: the one that came
     // or was used longest ago first.
     Connections newcomers_, known_;
     std::unordered_map<std::uint64_t, Connection*> in_hand_;  // by request
     std::uint64_t next_id_ = 1;
-    std::optional<Steady::time_point> backlog_since_;  // connections may have waited for a place from then on
     bool open_ = false, accepting_ = false, starved_ = false, draining_ = false, standby_ = false;
 };
 
--- a/tests/node/gateway_test.cpp
+++ b/tests/node/gateway_test.cpp
@@ -514,6 +514,28 @@
     EXPECT_EQ(late.answers()[0].result_int(), 200u);
 }
 
+// Found on harbor-yard's herd day: a process that started slowly took 30 ms from listening to its first
+// accept, and answered a request that had come meanwhile that much too late.
+TEST(ClientServer, TheTimeOfARequestRunsBeforeTheFirstAccept) {
+    asio::io_context io;
+    SocketBudget budget(10);
+    std::vector<ClientRequest> taken;
+    ClientServer server(io, any_port(), budget, 1024 * 1024,
+                        {[&](ClientRequest&& r) { taken.push_back(std::move(r)); }, [](std::uint64_t) {},
+                         [] { return true; }});
+    server.open();
+    const auto before = Steady::now();
+    Client client(io, server.local_endpoint());
+    client.say(request("a"));
+    ASSERT_TRUE(run_until(io, [&] { return taken.size() == 1; }));
+    EXPECT_LE(taken[0].arrived, before);
+    Client later(io, server.local_endpoint());
+    const auto between = Steady::now();
+    later.say(request("b"));
+    ASSERT_TRUE(run_until(io, [&] { return taken.size() == 2; }));
+    EXPECT_GE(taken[1].arrived, between);
+}
+
 TEST(ClientServer, TheTimeOfARequestRunsWhileItsConnectionWaitsForAPlace) {
     asio::io_context io;
     SocketBudget budget(10);  // six for clients
