Call discovery again within the time that the settings allow after a failed call

Cause: the settings' askWithinUs was not read. Without a watch and a call for four times that after a failed call, what was listed counts as told; pauses and patience had bounds of their own. Change: both stay within half of that time each, less 50 ms for a late loop. Without the setting nothing changes.

--- a/src/node/config.cpp
+++ b/src/node/config.cpp
@@ -67,6 +67,9 @@
     c.settings = json::read_settings(settings);
     if (auto mode = json::optional_key(settings, "membershipMode"))
         c.lists_pushed = json::as_text(*mode, "membershipMode") != "subscribe";
+    const json::object rules = json::as_object(json::required(settings, "guarantees"), "guarantees");
+    json::read(rules, "askWithinUs", c.ask_within);
+    if (c.ask_within.count() < 0) json::bad("askWithinUs", "a time of 0 or more");
     const json::object limits = json::as_object(json::required(settings, "ceilings"), "ceilings");
     json::read(limits, "connectTimeoutUs", c.connect_timeout);
     json::read(limits, "connIdleUs", c.idle_limit);
--- a/src/node/config.h
+++ b/src/node/config.h
@@ -28,6 +28,9 @@
     std::size_t memory_mb = 192;  // over which the process is killed
     TargetList known;
     bool lists_pushed = true;  // else they are asked for, and that costs
+    // Without a watch and a call for so long, four times that after a failed call, changes count as told; 0:
+    // not set.
+    std::chrono::microseconds ask_within{0};
     silverreach::Settings settings;
     // Of the settings, what concerns connections only.
     std::chrono::microseconds connect_timeout{std::chrono::milliseconds(250)};
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -18,15 +18,31 @@
 // Of an agent that answers at once: it is silent after this, and a connection to it is tried again after
 // that.
 constexpr auto prompt = 100ms, reconnect_first = 5ms, reconnect_most = 80ms;
+// A change counts as told to a gateway that has not called for so many times what the settings name; what
+// lies between is for a loop that is late.
+constexpr int asks_after_failure = 4;
+constexpr auto ask_margin = 50ms;
 // From its first byte to its last.
 constexpr auto list_time_most = 2s;
 // A list of 150,000 hosts has 23 MB.
 constexpr std::size_t most_list = 32 * 1024 * 1024;
 }  // namespace
 
-WatchPace Discovery::pace_among(int gateways, bool pushed) {
+// From one call to the next, one's patience and the pause after it, stays within what the settings allow.
+WatchPace Discovery::pace_among(int gateways, bool pushed, std::chrono::microseconds ask_within) {
+    if (pushed) return {WatchPace{}.hold, prompt, prompt, reconnect_first, reconnect_most, true};
+    WatchPace pace = pace_of_asked(gateways);
+    if (ask_within.count() <= 0) return pace;
+    const auto most =
+        std::chrono::duration_cast<std::chrono::milliseconds>(ask_within * asks_after_failure / 2) -
+        ask_margin;
+    for (auto* time : {&pace.patience, &pace.patience_most, &pace.pause_first, &pace.pause_most})
+        *time = std::clamp<std::chrono::milliseconds>(most, 1ms, *time);
+    return pace;
+}
+
+WatchPace Discovery::pace_of_asked(int gateways) {
     WatchPace pace;
-    if (pushed) return {pace.hold, prompt, prompt, reconnect_first, reconnect_most, true};
     if (gateways <= few_gateways) return pace;
     pace.hold = std::min<std::chrono::milliseconds>(hold_most, 1000ms * gateways / few_gateways);
     pace.patience = pace.patience_most = patience_of_many;
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -39,7 +39,8 @@
     // counts as told: its return from silence must be noticed within a drain's grace. Where they are asked
     // for, many gateways wear discovery out with calls that it turns away or that are given up before their
     // turn.
-    static WatchPace pace_among(int gateways, bool pushed);
+    // `ask_within`: after a failed call the next is due within four times this; 0: no such bound.
+    static WatchPace pace_among(int gateways, bool pushed, std::chrono::microseconds ask_within = {});
 
     Discovery(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& agent, OnList on_list,
               WatchPace pace = {}, std::uint64_t seed = 1);
@@ -49,6 +50,7 @@
     void stop();
 
   private:
+    static WatchPace pace_of_asked(int gateways);
     void ask();
     void send();
     void receive();
--- a/src/node/runtime.cpp
+++ b/src/node/runtime.cpp
@@ -146,9 +146,9 @@
         on_list(list);
         first_told();
     };
-    discovery_ = std::make_unique<Discovery>(io, config.discovery, on_told,
-                                             Discovery::pace_among(settings_.instances, config.lists_pushed),
-                                             config.seed);
+    discovery_ = std::make_unique<Discovery>(
+        io, config.discovery, on_told,
+        Discovery::pace_among(settings_.instances, config.lists_pushed, config.ask_within), config.seed);
     upgrade_ = std::make_unique<Upgrade>(
         io, HandoverPlace(io, config.handover_folder, handover_name(config)),
         Upgrade::Callbacks{[this](Upgrade::Left&& left) { serve(std::move(left)); }, [this] { serve({}); },
--- a/tests/node/watch_test.cpp
+++ b/tests/node/watch_test.cpp
@@ -96,6 +96,14 @@
     EXPECT_GT(Discovery::pace_among(48, false).hold, Discovery::pace_among(4, false).hold);
     const WatchPace of_many = Discovery::pace_among(300, false);
     EXPECT_LE(of_many.pause_first, of_many.pause_most);
+    // Found on harbor-yard's throng day: a gateway that paused longer than its settings allow counted as
+    // told.
+    for (const int gateways : {4, 25, 300}) {
+        const WatchPace bound = Discovery::pace_among(gateways, false, 200ms);
+        EXPECT_LT(bound.patience_most + bound.pause_most, 800ms);
+        EXPECT_LE(bound.patience, bound.patience_most);
+        EXPECT_LE(bound.pause_first, bound.pause_most);
+    }
 }
 
 // Found on harbor-yard's short days: after their watches had been reset, six gateways gave up their calls
