--- a/tests/host_list_test.cpp
+++ b/tests/host_list_test.cpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <random>
 
+#include "host_index.h"
 #include "silverreach/interface.h"
 
 namespace silverreach {
@@ -142,5 +143,52 @@
     EXPECT_EQ(gateway.digest(), 16855070943031021730u);
 }
 
+struct ListedHost {
+    struct {
+        std::string host;
+    } entry;
+    std::uint32_t place = 0;
+};
+struct CountingByPlace {
+    std::uint64_t* comparisons;
+    bool operator()(const ListedHost* a, const ListedHost* b) const {
+        ++*comparisons;
+        return ByPlace{}(a, b);
+    }
+};
+
+// Comparisons for each of 1,000 hosts taken out of a list of so many and put back, the front made anew each
+// time.
+double comparisons_of_a_change(std::size_t size) {
+    std::vector<ListedHost> hosts(size);
+    std::mt19937 random(5);
+    std::uint64_t comparisons = 0;
+    constexpr std::size_t front = 32, changes = 1000;
+    HostOrder<ListedHost, CountingByPlace> order(front, {&comparisons});
+    for (ListedHost& host : hosts) {
+        host.entry.host = std::to_string(order.size());
+        host.place = static_cast<std::uint32_t>(random());
+        order.insert(host);
+    }
+    comparisons = 0;
+    for (std::size_t change = 0; change < changes; ++change) {
+        ListedHost& host = hosts[random() % size];
+        order.erase(host);
+        order.restart();
+        order.insert(host);
+        order.restart();
+    }
+    EXPECT_EQ(order.size(), size);
+    EXPECT_EQ(order.front_size(), std::min(front, size));
+    return static_cast<double>(comparisons) / changes;
+}
+
+TEST(HostList, TheWorkOfOneChangeGrowsWithTheLogarithmOfTheList) {
+    const double small = comparisons_of_a_change(1000), large = comparisons_of_a_change(64000);
+    EXPECT_LT(small, 60);
+    // 64 times the hosts are six more levels, gone down twice, with what a tree may be out of balance.
+    EXPECT_LT(large - small, 2 * 6 * 2);
+}
+
 }  // namespace
 }  // namespace silverreach
