--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -94,7 +94,7 @@
         return between_requests() && unread_.size() == 0 && socket_.available(ec) == 0;
     }
     // What was read before the server opened is heard now.
-    void hear() {
+    void start_parsing() {
         parse();
         read();
     }
@@ -104,12 +104,14 @@
     bool gives_nothing(std::chrono::steady_clock::time_point since) const {
         error_code ec;
         return !closed_ && came_ <= since &&
-               (lingering_ || (request_ == 0 && !writing_ && !unheard() && socket_.available(ec) == 0));
+               (lingering_ ||
+                (request_ == 0 && !writing_ && !has_deferred_input() && socket_.available(ec) == 0));
     }
     // What the kernel holds unread may be a request: it counts as taken.
     bool busy() const {
         error_code ec;
-        return !closed_ && !lingering_ && (!between_requests() || unheard() || socket_.available(ec) > 0);
+        return !closed_ && !lingering_ &&
+               (!between_requests() || has_deferred_input() || socket_.available(ec) > 0);
     }
     bool overdue(std::chrono::steady_clock::time_point now) const { return now >= give_up_; }
     // What a connection that has waited for too long gets: an idle one just ends.
@@ -218,7 +220,7 @@
         return !closed_ && request_ == 0 && !writing_ && !lingering_ && !parser_;
     }
     // What has been read of a next request waits until the server opens, or the pause is over.
-    bool unheard() const { return (paused_ || !server_.open_) && unread_.size() > 0; }
+    bool has_deferred_input() const { return (paused_ || !server_.open_) && unread_.size() > 0; }
     // What stands unread goes along; what the parser has taken up could not.
     bool passable() const {
         return !closed_ && request_ == 0 && !writing_ && !lingering_ && !paused_ && (!parser_ || !taken_up_);
@@ -511,8 +513,8 @@
 
 void ClientServer::open() {
     if (std::exchange(open_, true)) return;
-    const Connections waiting = newcomers_;  // being heard moves them
-    for (const auto& connection : waiting) connection->hear();
+    const Connections waiting = newcomers_;  // parsing moves them
+    for (const auto& connection : waiting) connection->start_parsing();
 }
 // One accept is under way unless there is no room for a further client: then the next comes with a freed
 // place.
@@ -521,28 +523,29 @@
     accepting_ = true;
     acceptor_.async_wait(tcp::acceptor::wait_read, [this](error_code waited) {
         accepting_ = false;
-        if (waited || pass_ || !acceptor_.is_open()) return;
-        error_code ec;
-        const bool had_place = take_one(ec);
-        if (!connection_waits()) backlog_since_.reset();
-        else if (!backlog_since_) backlog_since_ = Steady::now();
-        if (!had_place) {
-            starved_ = true;
-            return;
-        }
-        if (ec == asio::error::no_descriptors || ec == asio::error::no_buffer_space ||
-            ec == asio::error::no_memory || ec.value() == ENFILE) {
-            // Guards against a spin: whoever holds the descriptors, the connection that waits would wake this
-            // at once and for ever. Room is made, and the next try comes after a pause.
-            std::fprintf(stderr, "accept: %s\n", ec.message().c_str());
-            make_room();
-            accept_pause_.expires_after(accept_again);
-            accept_pause_.async_wait([this](error_code stopped) {
-                if (!stopped) accept();
-            });
-            return;
-        }
-        accept();
+        if (!waited && !pass_ && acceptor_.is_open()) accept_waiting();
+    });
+}
+
+void ClientServer::accept_waiting() {
+    error_code ec;
+    const bool had_place = take_one(ec);
+    if (!connection_waits()) backlog_since_.reset();
+    else if (!backlog_since_) backlog_since_ = Steady::now();
+    if (!had_place) {
+        starved_ = true;
+        return;
+    }
+    const bool short_of_something = ec == asio::error::no_descriptors || ec == asio::error::no_buffer_space ||
+                                    ec == asio::error::no_memory || ec.value() == ENFILE;
+    if (!short_of_something) return accept();
+    // Guards against a spin: whoever holds the descriptors, the connection that waits would wake this at once
+    // and for ever. Room is made, and the next try comes after a pause.
+    std::fprintf(stderr, "accept: %s\n", ec.message().c_str());
+    make_room();
+    accept_pause_.expires_after(accept_again);
+    accept_pause_.async_wait([this](error_code stopped) {
+        if (!stopped) accept();
     });
 }
 
--- a/src/node/client_server.h
+++ b/src/node/client_server.h
@@ -87,6 +87,7 @@
     using Connections = std::list<std::shared_ptr<Connection>>;
 
     void accept();
+    void accept_waiting();
     bool leaving() const { return (draining_ && !pass_) || standby_; }
     void close_idle();
     bool take_one(boost::system::error_code& ec);
