--- a/tests/node/gateway_test.cpp
+++ b/tests/node/gateway_test.cpp
@@ -199,6 +199,25 @@
     EXPECT_EQ(other.answers()[0].result_int(), 200u);
 }
 
+// Found by mutated requests: the parser asks for more of a line without an end, in a buffer that is full, and
+// the exception of that one connection ended the process.
+TEST_F(GatewayTest, AnEndlessLineInAChunkedBodyEndsOnlyItsConnection) {
+    ASSERT_TRUE(up());
+    const std::string endless(200'000, '1');
+    for (const std::string& line :
+         {endless, "1;" + endless, "1;a=\"" + endless, "0\r\nX-Trailer: " + endless}) {
+        Client client(io, address());
+        client.say("POST /api HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n" + line);
+        ASSERT_TRUE(run_until(io, [&] { return client.ended(); }));
+        ASSERT_EQ(client.answers().size(), 1u) << line.substr(0, 20);
+        EXPECT_EQ(client.answers()[0].result_int() / 100, 4u);
+    }
+    Client other(io, address());
+    other.say(request("b"));
+    ASSERT_TRUE(answered(other));
+    EXPECT_EQ(other.answers()[0].result_int(), 200u);
+}
+
 // What can't be right must reach neither a host nor anyone's quota.
 TEST_F(GatewayTest, RequestsOutsideTheSettingsAreNeverSentOn) {
     plan = R"({"name":"basic","rate":0.001,"mostAtOnce":2,"excessCost":1,"worthFactor":1})";
--- a/tests/node/host_pool_test.cpp
+++ b/tests/node/host_pool_test.cpp
@@ -126,6 +126,17 @@
     EXPECT_EQ(ended.back().result.answer.body(), "abc");
 }
 
+// The same fault as with clients: one host's answer ended the process.
+TEST_F(HostPoolTest, AnEndlessLineInAChunkedAnswerEndsOnlyItsAttempt) {
+    const std::string endless(200'000, '1');
+    for (const std::string& line : {endless, "1;" + endless, "0\r\nX-Trailer: " + endless})
+        EXPECT_EQ(
+            outcome([&](auto& p) { p.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + line); }),
+            HostOutcome::error)
+            << line.substr(0, 20);
+    EXPECT_EQ(outcome([](auto& p) { p.ok("served"); }), HostOutcome::served);
+}
+
 // What comes behind an answer must not be heard as the next request's.
 TEST_F(HostPoolTest, BytesBehindAnAnswerAreNotTheNextOnes) {
     int call = 0;
