End only the connection that sends a line without an end, not the process

Cause: no header limit of the parser holds for a line inside a chunked body (size, extension, trailer). It asks for more, take_in() calls prepare() on a full buffer, and what that throws leaves the connection's handler and the event loop. One client's request or one host's answer ended the gateway, each time.

Change: a connection whose buffer has no place for a further read answers 431 and ends (client), or ends its attempt as an error (host). The same mistake elsewhere: the buffer of discovery's answers had no bound at all, so an endless line there took memory until its time was over; connections taken over in an upgrade could bring more than their buffer holds; callers at the operators' door are bounded by the library (checked). What a step of a client's or host's connection throws now ends that connection alone.

--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -12,6 +12,7 @@
 #include <cstdio>
 #include <optional>
 
+#include "containment.h"
 #include "shared_address.h"
 
 namespace spartrack {
@@ -78,6 +79,7 @@
     void go_on_from(std::string_view unread, bool first) {
         first_ = first;
         if (!first) expect(idle_most);
+        if (unread.size() > unread_.max_size()) return close();  // no version of this program leaves so much
         unread_.commit(asio::buffer_copy(unread_.prepare(unread.size()), asio::buffer(unread)));
         unread_since_ = Steady::now();
         error_code ec;
@@ -263,9 +265,13 @@
             self->reading_ = false;
             if (self->closed_) return;
             if (ec) return self->close();
-            self->take_in();
+            contain(
+                "client", [&] { self->take_in(); }, [&] { self->close(); });
         });
     }
+    // Whether a further read has a place. Without one the parser waits for the end of a line that has none:
+    // no header limit holds for lines inside a chunked body.
+    bool has_room() const { return unread_.size() + read_at_once <= unread_.max_size(); }
     void take_in() {
         if (lingering_) return drop();
         // Behind a request in hand all is read, or its client's leave would stand unseen behind the rest.
@@ -275,6 +281,7 @@
             if (dropped_ >= linger_most_bytes) return close();
             return drop();
         }
+        if (!has_room()) return fail(http::status::request_header_fields_too_large, "line too long");
         error_code ec;
         const std::size_t n = socket_.read_some(unread_.prepare(read_at_once), ec);
         if (ec && ec != asio::error::would_block && ec != asio::error::try_again) return close();
@@ -414,9 +421,14 @@
                                      if (from + sent < self->out_.size())
                                          return self->write_rest(from + sent);
                                      self->writing_ = false;
-                                     self->on_written();
-                                     self->parse();
-                                     self->read();
+                                     contain(
+                                         "client",
+                                         [&] {
+                                             self->on_written();
+                                             self->parse();
+                                             self->read();
+                                         },
+                                         [&] { self->close(); });
                                  });
     }
     void on_written() {
@@ -514,7 +526,9 @@
 void ClientServer::open() {
     if (std::exchange(open_, true)) return;
     const Connections waiting = newcomers_;  // parsing moves them
-    for (const auto& connection : waiting) connection->start_parsing();
+    for (const auto& connection : waiting)
+        contain(
+            "client", [&] { connection->start_parsing(); }, [&] { connection->close(); });
 }
 // One accept is under way unless there is no room for a further client: then the next comes with a freed
 // place.
@@ -694,7 +708,9 @@
     const auto now = std::chrono::steady_clock::now();
     for (auto it = connections.begin(); it != connections.end();) {
         const auto connection = *it++;  // it may end now
-        if (connection->overdue(now)) connection->time_out();
+        if (!connection->overdue(now)) continue;
+        contain(
+            "client", [&] { connection->time_out(); }, [&] { connection->close(); });
     }
 }
 void ClientServer::sweep() {
--- /dev/null
+++ b/src/node/containment.h
@@ -0,0 +1,21 @@
+// Keeps what one connection throws from ending the process.
+#pragma once
+
+#include <cstdio>
+#include <exception>
+
+namespace spartrack {
+
+// Runs `step` of one connection. What it throws (a bound of a buffer, memory that is short) ends that
+// connection alone: `abandon` is called, with no further step.
+template <class Step, class Abandon>
+void contain(const char* whose, Step step, Abandon abandon) {
+    try {
+        step();
+    } catch (const std::exception& error) {
+        std::fprintf(stderr, "%s connection: abandoned: %s\n", whose, error.what());
+        abandon();
+    }
+}
+
+}  // namespace spartrack
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -24,8 +24,9 @@
 constexpr auto ask_margin = 50ms;
 // From its first byte to its last.
 constexpr auto list_time_most = 2s;
-// A list of 150,000 hosts has 23 MB.
-constexpr std::size_t most_list = 32 * 1024 * 1024;
+// A list of 150,000 hosts has 23 MB. It is taken up as it comes: what stands unread is a header or one read,
+// but for a line without an end inside a chunked list.
+constexpr std::size_t most_list = 32 * 1024 * 1024, most_unread = most_header + 64 * 1024;
 }  // namespace
 
 // From one call to the next, one's patience and the pause after it, stays within what the settings allow.
@@ -61,7 +62,8 @@
       patience_next_(pace.patience),
       pause_next_(pace.pause_first),
       stream_(io),
-      pause_(io) {
+      pause_(io),
+      buffer_(most_unread) {
     ask();
 }
 void Discovery::stop() {
--- a/src/node/host_pool.cpp
+++ b/src/node/host_pool.cpp
@@ -6,6 +6,7 @@
 #include <optional>
 
 #include "clock.h"
+#include "containment.h"
 
 namespace spartrack {
 namespace asio = boost::asio;
@@ -183,7 +184,8 @@
     void read() {
         socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code ec) {
             if (self->state_ == State::closed) return;
-            self->take_in(ec);
+            contain(
+                "host", [&] { self->take_in(ec); }, [&] { self->abandon(); });
         });
     }
     void take_in(error_code ec) {
@@ -197,10 +199,17 @@
         const auto self = shared_from_this();
         // What can't be read is an answer all the same: the host is there and may have run the request.
         // Guards against hosts passed over as if they were down for a spoilt answer here and there.
-        if (!parse()) return end(unwritten() ? HostOutcome::reset : HostOutcome::error);
+        if (!parse() || !has_room()) return end(unwritten() ? HostOutcome::reset : HostOutcome::error);
         if (state_ == State::closed || (parser_ && !pass_on())) return;
         read();
     }
+    // Whether a further read has a place. Without one the parser waits for the end of a line that has none:
+    // no header limit holds for lines inside a chunked body.
+    bool has_room() const { return unread_.size() + read_of_long <= unread_.max_size(); }
+    void abandon() {
+        if (state_ == State::idle) return drop_idle();
+        if (state_ != State::closed) end(unwritten() ? HostOutcome::connect_failed : HostOutcome::error);
+    }
     // An answer that tells no length ends with its connection.
     bool ends_with_connection() {
         if (!parser_ || !parser_->is_header_done() || !parser_->need_eof()) return false;
--- a/tests/node/watch_test.cpp
+++ b/tests/node/watch_test.cpp
@@ -47,6 +47,31 @@
     EXPECT_EQ(lists[2].targets.at(0).state, TargetState::gone);
 }
 
+// The same fault as with clients and hosts, but for the bound: what stood unread grew until the time was
+// over.
+TEST(Discovery, AnEndlessLineInAChunkedListIsNotReadOn) {
+    asio::io_context io;
+    tcp::acceptor agent(io, any_port());
+    tcp::socket connection(io);
+    std::string text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;";
+    std::size_t written = 0;
+    bool ended = false;
+    std::function<void()> write_on = [&] {
+        asio::async_write(connection, asio::buffer(text), [&](error_code ec, std::size_t n) {
+            text.assign(65536, '1');
+            written += n;
+            if (ec) ended = true;
+            else write_on();
+        });
+    };
+    agent.async_accept(connection, [&](error_code ec) {
+        if (!ec) write_on();
+    });
+    Discovery watch(io, agent.local_endpoint(), [](const TargetList&) {});
+    ASSERT_TRUE(run_until(io, [&] { return ended; }));
+    EXPECT_LT(written, std::size_t{8} << 20);  // as much as stands in the kernel's buffers, and little more
+}
+
 // An agent that has fallen silent keeps its connection open: only asking again brings the news it gets later.
 TEST(Discovery, ASilentOrBrokenAgentIsAskedAgain) {
     asio::io_context io;
