--- /dev/null
+++ b/tests/node/short_writes.cpp
@@ -0,0 +1,60 @@
+#include "short_writes.h"
+
+#include <dlfcn.h>
+#include <sys/socket.h>
+#include <sys/uio.h>
+
+#include <algorithm>
+#include <vector>
+
+namespace {
+bool short_writes = false;
+constexpr std::size_t part = 3;
+
+std::size_t short_of(std::size_t bytes) {
+    return bytes <= 1 ? bytes : std::max<std::size_t>(1, bytes / part);
+}
+
+template <class Function>
+Function* next(const char* name) {
+    return reinterpret_cast<Function*>(::dlsym(RTLD_NEXT, name));
+}
+
+// The first bytes of what the vectors hold.
+std::vector<iovec> first_bytes(const msghdr& message) {
+    std::vector<iovec> vectors(message.msg_iov, message.msg_iov + message.msg_iovlen);
+    std::size_t all = 0;
+    for (const iovec& v : vectors) all += v.iov_len;
+    std::size_t left = short_of(all);
+    for (iovec& v : vectors) {
+        v.iov_len = std::min(v.iov_len, left);
+        left -= v.iov_len;
+    }
+    return vectors;
+}
+
+bool is_stream(int socket) {
+    int type = 0;
+    socklen_t size = sizeof type;
+    return ::getsockopt(socket, SOL_SOCKET, SO_TYPE, &type, &size) == 0 && type == SOCK_STREAM;
+}
+}  // namespace
+
+// These take the place of the C library's in this program.
+extern "C" ssize_t send(int socket, const void* bytes, size_t size, int flags) {
+    static const auto real = next<ssize_t(int, const void*, size_t, int)>("send");
+    return real(socket, bytes, short_writes && is_stream(socket) ? short_of(size) : size, flags);
+}
+extern "C" ssize_t sendmsg(int socket, const msghdr* message, int flags) {
+    static const auto real = next<ssize_t(int, const msghdr*, int)>("sendmsg");
+    if (!short_writes || !is_stream(socket)) return real(socket, message, flags);
+    std::vector<iovec> vectors = first_bytes(*message);
+    msghdr less = *message;
+    less.msg_iov = vectors.data();
+    return real(socket, &less, flags);
+}
+
+namespace spartrack::test {
+ShortWrites::ShortWrites() { short_writes = true; }
+ShortWrites::~ShortWrites() { short_writes = false; }
+}  // namespace spartrack::test
