Write on after a short write until the socket is full

Cause: after a write that took a part, the event library takes the socket for full and waits for an edge of writability. Where the system took a part for another reason the socket was writable all along, so the edge never came: the client's answer, discovery's call or the operators' answer stood until its connection was given up.

Change: one function, write_available(), writes until all is written or the system says that it would block, and only then is room waited for. Clients, hosts, discovery and the operators' door use it. Checked elsewhere: reads are waited for and repeated (a short read leaves no wait behind), messages between processes of an upgrade are whole or not at all, datagrams too.

--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <cstdio>
@@ -14,6 +13,7 @@
 
 #include "containment.h"
 #include "shared_address.h"
+#include "socket_write.h"
 
 namespace spartrack {
 namespace asio = boost::asio;
@@ -403,33 +403,33 @@
 
     // Most answers fit into the socket at once, which spares the wait for it.
     void write() {
+        if (write_on(0)) on_written();
+    }
+    // Writes on from there; false where the rest has to wait for room, or the connection has ended. A client
+    // may take its time as long as it takes something.
+    bool write_on(std::size_t from) {
         expect(write_most);
         error_code ec;
-        const std::size_t sent = socket_.write_some(asio::buffer(out_), ec);
-        if (ec && ec != asio::error::would_block && ec != asio::error::try_again) return close();
-        if (sent == out_.size()) return on_written();
-        write_rest(sent);
+        from += write_available(socket_, std::string_view(out_).substr(from), ec);
+        if (ec) return close(), false;
+        writing_ = from < out_.size();
+        if (writing_) await_room(from);
+        return !writing_;
+    }
+    // Waits first and writes then: each such wait hears of room that is there already.
+    void await_room(std::size_t from) {
+        socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this(), from](error_code failed) {
+            if (self->closed_) return;
+            if (failed) return self->close();
+            contain(
+                "client", [&] { self->on_room(from); }, [&] { self->close(); });
+        });
     }
-    // A client may take its time as long as it takes something.
-    void write_rest(std::size_t from) {
-        writing_ = true;
-        expect(write_most);
-        socket_.async_write_some(asio::buffer(out_.data() + from, out_.size() - from),
-                                 [self = shared_from_this(), from](error_code failed, std::size_t sent) {
-                                     if (self->closed_) return;
-                                     if (failed) return self->close();
-                                     if (from + sent < self->out_.size())
-                                         return self->write_rest(from + sent);
-                                     self->writing_ = false;
-                                     contain(
-                                         "client",
-                                         [&] {
-                                             self->on_written();
-                                             self->parse();
-                                             self->read();
-                                         },
-                                         [&] { self->close(); });
-                                 });
+    void on_room(std::size_t from) {
+        if (!write_on(from)) return;
+        on_written();
+        parse();
+        read();
     }
     void on_written() {
         if (!next_.empty()) {
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -1,9 +1,10 @@
 #include "discovery.h"
 
 #include <algorithm>
-#include <boost/asio/write.hpp>
 #include <cstdio>
 
+#include "socket_write.h"
+
 namespace spartrack {
 namespace beast = boost::beast;
 using boost::system::error_code;
@@ -111,6 +112,7 @@
         if (ec) return ask_anew("can't be reached");
         connected_ = true;
         stream_.socket().set_option(boost::asio::ip::tcp::no_delay(true), ec);
+        stream_.socket().non_blocking(true, ec);
         send();
     });
 }
@@ -126,13 +128,23 @@
     request_ += " HTTP/1.1\r\nHost: discovery\r\n\r\n";
     // A call for the list as it is costs discovery most: given up early, it only makes the line longer.
     stream_.expires_after(hold + (waits_ ? patience_next_ : pace_.patience_most));
+    write(0);
+}
+
+// Writes the call on from there. Where the socket is full, the wait for room is the stream's, which ends with
+// the time for the call.
+void Discovery::write(std::size_t from) {
+    error_code ec;
+    from += write_available(stream_.socket(), std::string_view(request_).substr(from), ec);
+    if (ec) return ask_anew("broke off");
+    if (from == request_.size()) return receive();
     under_way_ = true;
-    boost::asio::async_write(stream_, boost::asio::buffer(request_),
-                             [this, at = generation_](error_code ec, std::size_t) {
-                                 if (!goes_on(at)) return;
-                                 if (ec) return ask_anew("broke off");
-                                 receive();
-                             });
+    const auto rest = boost::asio::buffer(request_.data() + from, request_.size() - from);
+    stream_.async_write_some(rest, [this, from, at = generation_](error_code failed, std::size_t sent) {
+        if (!goes_on(at)) return;
+        if (failed) return ask_anew("broke off");
+        write(from + sent);
+    });
 }
 
 void Discovery::receive() {
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -53,6 +53,7 @@
     static WatchPace pace_of_asked(int gateways);
     void ask();
     void send();
+    void write(std::size_t from);
     void receive();
     void receive_more();
     void take_answer();
--- a/src/node/host_pool.cpp
+++ b/src/node/host_pool.cpp
@@ -1,12 +1,12 @@
 #include "host_pool.h"
 
 #include <algorithm>
-#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <optional>
 
 #include "clock.h"
 #include "containment.h"
+#include "socket_write.h"
 
 namespace spartrack {
 namespace asio = boost::asio;
@@ -157,9 +157,8 @@
     void write(std::size_t sent = 0) {
         state_ = State::writing;
         error_code ec;
-        sent += socket_.write_some(asio::buffer(out_.data() + sent, out_.size() - sent), ec);
-        if (ec && ec != asio::error::would_block && ec != asio::error::try_again)
-            return end(HostOutcome::connect_failed);
+        sent += write_available(socket_, std::string_view(out_).substr(sent), ec);
+        if (ec) return end(HostOutcome::connect_failed);
         if (sent == out_.size()) {
             state_ = State::waiting;
             return;
--- a/src/node/mgmt_door.cpp
+++ b/src/node/mgmt_door.cpp
@@ -1,11 +1,12 @@
 #include "mgmt_door.h"
 
 #include <array>
-#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <cstdio>
 #include <optional>
 
+#include "socket_write.h"
+
 namespace spartrack {
 namespace asio = boost::asio;
 using asio::ip::tcp;
@@ -32,6 +33,8 @@
         : door_(door), socket_(std::move(socket)), timer_(socket_.get_executor()) {
         parser_.header_limit(most_call);
         parser_.body_limit(most_call);
+        error_code ec;
+        socket_.non_blocking(true, ec);
     }
     Callers::iterator self;
 
@@ -72,18 +75,28 @@
         timer_.async_wait([self = shared_from_this()](error_code stopped) {
             if (!stopped) self->close();
         });
-        asio::async_write(socket_, asio::buffer(out_),
-                          [self = shared_from_this()](error_code ec, std::size_t) {
-                              if (ec || self->closed_) return self->close();
-                              // What a half call still sends is read and dropped, so that the close does not
-                              // take the answer along.
-                              self->socket_.shutdown(tcp::socket::shutdown_send, ec);
-                              self->timer_.expires_after(linger_most);
-                              self->timer_.async_wait([self](error_code stopped) {
-                                  if (!stopped) self->close();
-                              });
-                              self->drop();
-                          });
+        write(0);
+    }
+    void write(std::size_t from) {
+        error_code ec;
+        from += write_available(socket_, std::string_view(out_).substr(from), ec);
+        if (ec) return close();
+        if (from == out_.size()) return on_written();
+        socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this(), from](error_code failed) {
+            if (self->closed_) return;
+            if (failed) return self->close();
+            self->write(from);
+        });
+    }
+    // What a half call still sends is read and dropped, so that the close does not take the answer along.
+    void on_written() {
+        error_code ec;
+        socket_.shutdown(tcp::socket::shutdown_send, ec);
+        timer_.expires_after(linger_most);
+        timer_.async_wait([self = shared_from_this()](error_code stopped) {
+            if (!stopped) self->close();
+        });
+        drop();
     }
     void drop() {
         socket_.async_read_some(asio::buffer(nowhere_),
--- a/tests/node/watch_test.cpp
+++ b/tests/node/watch_test.cpp
@@ -224,9 +224,11 @@
     std::string targets;
     constexpr int hosts = 20000;
     for (int host = 0; host < hosts; ++host)
-        targets += (host > 0 ? "," : "") + std::string(R"({"uid":"s-)") + std::to_string(1000000 + host) +
-                   R"(","endpoint":"127.0.0.1:81","az":"hall-a","model":"m2","pod_group":3,"state":"ready",)"
-                   R"("capacity_hint":1,"boot_ms":1764000000000})";
+        targets.append(host > 0 ? "," : "")
+            .append(R"({"uid":"s-)")
+            .append(std::to_string(1000000 + host))
+            .append(R"(","endpoint":"127.0.0.1:81","az":"hall-a","model":"m2","pod_group":3,"state":"ready",)"
+                    R"("capacity_hint":1,"boot_ms":1764000000000})");
     Server agent(io, [&](auto& p) {
         if (p.request.target().find("from=") == std::string::npos)
             p.ok(R"({"rev":1,"all":true,"targets":[)" + targets + "]}");
