Begin the watch on the hosts from the known list where lists are asked for

Cause: a gateway asked for the whole list first, which starts no watch, and then began a watch: two calls each that discovery pays for.

Change: the first call asks for what is newer than the known list and does not wait; the watch goes on from its answer. Where there is no known list, where lists are pushed, after a lost connection and from another discovery the whole list is asked for as before, and so it is where discovery's version is older than the known one.

--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -55,7 +55,7 @@
 }
 
 Discovery::Discovery(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& agent, OnList on_list,
-                     WatchPace pace, std::uint64_t seed)
+                     WatchPace pace, std::uint64_t seed, std::optional<std::int64_t> known_version)
     : agent_(agent),
       on_list_(std::move(on_list)),
       pace_(pace),
@@ -64,7 +64,8 @@
       pause_next_(pace.pause_first),
       stream_(io),
       pause_(io),
-      buffer_(most_unread) {
+      buffer_(most_unread),
+      version_(known_version) {
     ask();
 }
 void Discovery::stop() {
@@ -81,6 +82,7 @@
     pause_next_ = pace_.pause_first;
     start_over();
     version_.reset();
+    answered_ = false;
     pause_.cancel();
     // Guards against two operations on one stream: one that the close has ended asks when its handler comes.
     if (!under_way_) ask();
@@ -119,8 +121,8 @@
 
 void Discovery::send() {
     // One that was silent and would answer at once is asked for what it has now: a watch would not tell its
-    // return until there is news.
-    waits_ = version_ && !(failing_ && pace_.free);
+    // return until there is news. Nor would it confirm the list known before.
+    waits_ = version_ && answered_ && !(failing_ && pace_.free);
     const auto hold = waits_ ? pace_.hold : 0ms;
     request_ = "GET /catalog/members";
     if (version_)
@@ -193,6 +195,13 @@
     failing_ = false;
     patience_next_ = pace_.patience;
     pause_next_ = pace_.pause_first;
+    // It counts its versions anew: a watch from the one known here could hang for good.
+    const bool counts_anew = !list.whole && version_ && list.version < *version_;
+    if (counts_anew) {
+        version_.reset();
+        return ask();
+    }
+    answered_ = true;
     version_ = list.version;
     on_list_(list);
     ask();
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -29,9 +29,10 @@
     bool free = false;
 };
 
-// Asks for the whole list first, then for what is newer than the last answer, again and again. An agent that
-// is silent or broken is asked anew on a fresh connection: for the whole list, unless it has only had no room
-// or no time, when what is newer will do and costs discovery less.
+// Asks for the whole list first, or for what is newer than a list known before, then for what is newer than
+// the last answer, again and again. An agent that is silent or broken is asked anew on a fresh connection:
+// for the whole list, unless it has only had no room or no time, when what is newer will do and costs
+// discovery less.
 class Discovery {
   public:
     using OnList = std::function<void(const TargetList&)>;
@@ -42,8 +43,9 @@
     // `ask_within`: after a failed call the next is due within four times this; 0: no such bound.
     static WatchPace pace_among(int gateways, bool pushed, std::chrono::microseconds ask_within = {});
 
+    // `known_version`: of the list that the gateway has already; none: the whole list is asked for first.
     Discovery(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& agent, OnList on_list,
-              WatchPace pace = {}, std::uint64_t seed = 1);
+              WatchPace pace = {}, std::uint64_t seed = 1, std::optional<std::int64_t> known_version = {});
     // Asks another agent from now on, first for its whole list: its versions tell nothing of the former
     // one's.
     void move_to(const boost::asio::ip::tcp::endpoint& agent);
@@ -76,8 +78,9 @@
     std::string request_;
     std::optional<std::int64_t> version_;
     bool connected_ = false, failing_ = false, stopped_ = false;
-    bool waits_ = false;          // the call under way is a watch
-    bool under_way_ = false;      // an operation on the stream
+    bool waits_ = false;      // the call under way is a watch
+    bool answered_ = false;   // this agent has told a list, or that there is nothing newer than the known one
+    bool under_way_ = false;  // an operation on the stream
     std::size_t generation_ = 0;  // of the connection, so that handlers of a former one are told apart
 };
 
--- a/src/node/runtime.cpp
+++ b/src/node/runtime.cpp
@@ -146,9 +146,14 @@
         on_list(list);
         first_told();
     };
+    // Where lists are asked for, the watch begins from the known list: a call for the whole list starts none,
+    // and discovery serves half as many gateways that begin with two calls each.
+    std::optional<std::int64_t> known_version;
+    if (!config.lists_pushed && !known.targets.empty()) known_version = known.version;
     discovery_ = std::make_unique<Discovery>(
         io, config.discovery, on_told,
-        Discovery::pace_among(settings_.instances, config.lists_pushed, config.ask_within), config.seed);
+        Discovery::pace_among(settings_.instances, config.lists_pushed, config.ask_within), config.seed,
+        known_version);
     upgrade_ = std::make_unique<Upgrade>(
         io, HandoverPlace(io, config.handover_folder, handover_name(config)),
         Upgrade::Callbacks{[this](Upgrade::Left&& left) { serve(std::move(left)); }, [this] { serve({}); },
