--- a/include/silverreach/interface.h
+++ b/include/silverreach/interface.h
@@ -163,17 +163,40 @@
 
 // ---- actions --------------------------------------------------------------------------------------------
 
+enum class AttemptCause { first, retry, second_copy };
+// Why a request has its final answer from the gateway itself.
+enum class EndCause {
+    expired_on_arrival,
+    handed_over,         // another process takes over
+    over_quota,          // beyond the rate or the ceiling
+    over_open_cap,       // the turn under the cap on open attempts would come too late
+    paced,               // the warm-up limiter would release it too late
+    queue_full,          // more wait for a host than hosts could soon take
+    no_host_in_time,     // no host had room until its latest start
+    no_quota_in_time,    // no lease came until its latest start
+    repeat_not_allowed,  // the attempt failed, and its effect, group, window or count forbids a further one
+    retry_budget_spent,  // the attempt failed, and the budget has no further one
+    too_late_for_a_repeat,  // the attempt failed, and a further one could not be in time
+    deadline,               // the client's time is over
+};
+const char* name_of(AttemptCause cause);
+const char* name_of(EndCause cause);
+const char* name_of(Outcome outcome);
+
 struct SendAttempt {
     RequestId id;
     std::string host;
     Micros within;  // 0: until the client quits
+    AttemptCause cause = AttemptCause::first;
 };
 struct Refuse {  // final: trying again is harmless
     RequestId id;
     Micros retry_after;  // 0: no advice
+    EndCause cause = EndCause::deadline;
 };
 struct Fail {  // final: promises nothing
     RequestId id;
+    EndCause cause = EndCause::deadline;
 };
 struct CancelAttempt {
     RequestId id;
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -143,7 +143,7 @@
 class Gateway::Impl {
   public:
     Impl(Settings settings, std::uint64_t seed, Micros now)
-        : s_(std::move(settings)), random_(seed), boot_(now) {
+        : s_(std::move(settings)), rules_(s_), random_(seed), boot_(now) {
         const auto check = [](bool fine, const char* what) {
             if (!fine) throw std::invalid_argument(what);
         };
@@ -310,9 +310,10 @@
         const Plan& p = *plan_of(c);
         const double k = q.arrival.units;
         const Micros wait = c.even_at - now_;
-        if (ceiling_lack(c, k) > 0) return deny(q, micros(ceiling_lack(c, k) / even_ceiling(c, p.hard_rate)));
+        if (ceiling_lack(c, k) > 0)
+            return deny(q, micros(ceiling_lack(c, k) / even_ceiling(c, p.hard_rate)), EndCause::over_quota);
         if (lack(c, k) > 0) {
-            if (wait > 0us) return deny(q, wait);
+            if (wait > 0us) return deny(q, wait, EndCause::over_quota);
             c.even_at = std::max(c.even_at, now_) + micros(k * c.set_size / std::max(p.rate, 1e-9));
             c.level += lack(c, k);
         }
@@ -351,21 +352,21 @@
         c.dry_until = now_ + wait;
         for (const RequestId id : std::exchange(c.awaiting, {}))
             if (const auto it = requests_.find(id); it != requests_.end())
-                c.dry_need = it->second.arrival.units, deny(it->second, wait);
+                c.dry_need = it->second.arrival.units, deny(it->second, wait, EndCause::over_quota);
     }
 
     // Beyond the quota: refused at once with the wait, unless settings say that excess earns.
-    void deny(Request& q, Micros wait) {
+    void deny(Request& q, Micros wait, EndCause cause) {
         const Plan* p = plan_of(*q.customer);
         const bool earns =
             p->excess_worth > p->excess_cost && ceiling_lack(*q.customer, q.arrival.units) <= 0;
         const bool room = !pressed_ && slow_share_ < room_below && waiting_.empty();
-        if (!earns || !room) return refuse(q, wait);
+        if (!earns || !room) return refuse(q, wait, cause);
         q.in_quota = false;
         admit(q);
     }
-    void refuse(Request& q, Micros wait) {
-        actions_->push_back(Refuse{q.arrival.id, advice(std::max(wait, 0us))});
+    void refuse(Request& q, Micros wait, EndCause cause) {
+        actions_->push_back(Refuse{q.arrival.id, advice(std::max(wait, 0us)), cause});
         forget(q);
     }
 
@@ -378,7 +379,8 @@
         if (r.request_class < 0 || r.request_class >= static_cast<int>(s_.classes.size()) ||
             r.plan >= static_cast<int>(s_.plans.size()) || requests_.count(r.id))
             return;
-        if (r.time_left <= 0us || handed_) return actions_->push_back(Refuse{r.id, 0us});
+        if (r.time_left <= 0us) return actions_->push_back(Refuse{r.id, 0us, EndCause::expired_on_arrival});
+        if (handed_) return actions_->push_back(Refuse{r.id, 0us, EndCause::handed_over});
         Customer& c = customer(r);
         Request q;
         q.arrival = r, q.customer = &c, q.deadline = now_ + r.time_left;
@@ -402,7 +404,7 @@
         const double k = q.arrival.units;
         if (!plan_of(c) || (lack(c, k) <= 0 && ceiling_lack(c, k) <= 0))
             return has_slot(c) ? admit(q) : hold(q);
-        if (now_ < c.dry_until && k >= c.dry_need) return deny(q, c.dry_until - now_);
+        if (now_ < c.dry_until && k >= c.dry_need) return deny(q, c.dry_until - now_, EndCause::over_quota);
         c.awaiting.push_back(q.arrival.id);
         timer(q.latest_start - now_, q.arrival.id, TimerKind::expiry);
         if (c.nonce == 0) acquire(c);
@@ -432,7 +434,7 @@
         std::erase_if(c.held, [this](RequestId id) { return !requests_.count(id); });
         const double line = 1 + static_cast<double>(c.held.size()) + c.slots_in_line;
         const Micros wait = micros(answer_s_ * line / plan_of(c)->max_open);
-        if (now_ + wait > q.latest_start) return deny(q, wait);
+        if (now_ + wait > q.latest_start) return deny(q, wait, EndCause::over_open_cap);
         c.held.push_back(q.arrival.id);
         timer(q.latest_start - now_, q.arrival.id, TimerKind::expiry);
         claim_slots(c, false);
@@ -516,7 +518,7 @@
             const double stable_s = 1 / (p->rate * share(c)), warmup_s = p->burst / p->rate;
             c.limiter.resync(now_, stable_s, warmup_s);
             wait = c.limiter.next_free - now_;
-            if (now_ + wait > q.latest_start) return refuse(q, wait);
+            if (now_ + wait > q.latest_start) return refuse(q, wait, EndCause::paced);
             c.limiter.reserve(k, stable_s, warmup_s);
         }
         q.admitted = true;
@@ -573,17 +575,10 @@
         return trust * h.out_limit + (1 - trust) * limit_;
     }
 
-    // Whether a repeat comes to a host that still knows the first one, also over a connection that is late.
-    bool in_window(const Request& q, const RequestClass& k) const {
-        return now_ + s_.connect_time - q.first_maybe < k.repeat_window;
-    }
-    bool in_group(const Request& q, const Host& h) const {
-        const RequestClass& k = s_.classes[q.arrival.request_class];
-        if (!q.maybe_ran || k.effect == Effect::safe) return true;
-        if (k.effect == Effect::unsafe || !in_window(q, k)) return false;
-        return k.repeat_scope == RepeatScope::all ||
-               (k.repeat_scope == RepeatScope::zone ? h.entry.zone == q.group_zone
-                                                    : h.entry.cell == q.group_cell);
+    const RequestClass& class_of(const Request& q) const { return s_.classes[q.arrival.request_class]; }
+    static HostPlace place_of(const Host& h) { return {h.entry.zone, h.entry.cell}; }
+    bool may_send(const Request& q, const Host& h) const {
+        return rules_.judge_send(class_of(q), q.history, place_of(h), now_) == SendVerdict::allowed;
     }
 
     // Requests at a host: by its own word while that is fresh, with what went there since, else by estimate.
@@ -609,7 +604,7 @@
             const bool front = i < order_.front_size();
             if (front) order_.swap_in_front(i, i + random_() % (order_.front_size() - i));
             Host& h = front ? order_.front(i) : **behind++;
-            if (!h.usable() || now_ < h.blocked_until || !in_group(q, h)) continue;
+            if (!h.usable() || now_ < h.blocked_until || !may_send(q, h)) continue;
             if (known(h) && held(h) >= limit(h)) continue;
             ++seen;
             const bool cold = capacity_share(h) < 1 && warm_.count() > 0;
@@ -683,7 +678,7 @@
             Request& q = found->second;
             if (!std::count(q.pair.begin(), q.pair.end(), &h)) continue;
             --q.probes_out;
-            if (good && h.idle && takes(h) && in_group(q, h)) send_to(q, h);
+            if (good && h.idle && takes(h) && may_send(q, h)) send_to(q, h);
             else if (q.probes_out <= 0) choose(q);
         }
         pump();
@@ -699,7 +694,7 @@
     void choose(Request& q) {
         Host* best = nullptr;
         for (Host* h : q.pair)
-            if (takes(*h) && in_group(q, *h) && (!best || cost(*h) < cost(*best))) best = h;
+            if (takes(*h) && may_send(q, *h) && (!best || cost(*h) < cost(*best))) best = h;
         if (best && now_ <= q.latest_start) return send_to(q, *best);
         q.probing = false;
         dispatch(q);
@@ -715,7 +710,8 @@
         if (!q.sent) retry_earned_.add(1, now_, long_memory_s), --c.leaving;
         q.sent = true;
         q.waiting = q.probing = false, q.rounds = 0;
-        ++q.attempts, ++q.out, ++c.open;
+        q.history.begin_attempt(q.history.count(), place_of(h), now_);
+        ++c.open;
         q.last_host = h.entry.host, q.last_sent = now_;
         if (h.reported >= 0) ++h.reported;
         if (h.out++ == 0) h.last_answer = now_;
@@ -723,7 +719,8 @@
         mean_units_ += answer_weight * (q.arrival.units - mean_units_);
         h.sent.add(q.arrival.units, now_, warm_memory_s);
         warm_.add_sent(h, q.arrival.units, now_);
-        actions_->push_back(SendAttempt{q.arrival.id, h.entry.host, std::max(q.deadline - now_, 1us)});
+        const AttemptCause cause = std::exchange(q.next_attempt, AttemptCause::retry);
+        actions_->push_back(SendAttempt{q.arrival.id, h.entry.host, std::max(q.deadline - now_, 1us), cause});
         const double aim = seconds(s_.classes[q.arrival.request_class].aim);
         timer(micros(std::clamp(silent_answers * answer_s_, check_earliest * aim, check_latest * aim)),
               q.arrival.id, TimerKind::check);
@@ -731,7 +728,7 @@
 
     void dispatch(Request& q) {
         if (now_ <= q.latest_start && try_send(q)) return;
-        if (now_ >= q.latest_start) return finish(q);
+        if (now_ >= q.latest_start) return finish(q, EndCause::no_host_in_time);
         if (!std::exchange(q.waiting, true)) waiting_.push_back(q.arrival.id);
         timer(std::min(wait_again, q.latest_start - now_), q.arrival.id, TimerKind::expiry);
         // Of more that wait than hosts could soon take, the oldest is answered now, so that its client can
@@ -739,7 +736,7 @@
         if (static_cast<double>(waiting_.size()) <= waiting_for_each_host * order_.size() + 1) return;
         const auto it = requests_.find(waiting_.front());
         waiting_.pop_front();
-        if (it != requests_.end() && it->second.waiting) finish(it->second);
+        if (it != requests_.end() && it->second.waiting) finish(it->second, EndCause::queue_full);
     }
 
     // Lets waiting requests go while hosts have room, newest first: in order, all would leave at their last
@@ -754,12 +751,10 @@
     }
 
     // Final answer: a refusal where it is sure or harmless that nothing ran, else a failure.
-    void finish(Request& q) {
-        const RequestClass& k = s_.classes[q.arrival.request_class];
-        const bool harmless = k.effect == Effect::safe || !(q.maybe_ran || q.out > 0) ||
-                              (k.effect == Effect::keyed && k.repeat_scope == RepeatScope::all && q.out == 0);
-        if (harmless) return refuse(q, q.sent ? 0us : micros(answer_s_));
-        actions_->push_back(Fail{q.arrival.id});
+    void finish(Request& q, EndCause cause) {
+        if (rules_.may_refuse(class_of(q), q.history))
+            return refuse(q, q.sent ? 0us : micros(answer_s_), cause);
+        actions_->push_back(Fail{q.arrival.id, cause});
         forget(q);
     }
     void forget(Request& q) {
@@ -770,7 +765,7 @@
         }
         if (q.admitted && !q.sent) --c.leaving;
         --c.requests;
-        if (q.out > 0) left_out_[q.arrival.id] = {&c, q.out};
+        if (q.history.out() > 0) left_out_[q.arrival.id] = {&c, q.history.out()};
         requests_.erase(q.arrival.id);
         fill_slots(c);
     }
@@ -841,22 +836,12 @@
         if (found != requests_.end()) {
             Request& q = found->second;
             customer = q.customer;
-            q.out = std::max(0, q.out - 1);
+            q.history.end_attempt(a.attempt, a.outcome);
             customer->open = std::max(0, customer->open - 1);
             if (a.true_units > 0 && s_.units_settled_later && q.in_quota)
                 q.customer->level += q.arrival.units - a.true_units;
-            const bool never_ran = a.outcome == Outcome::full || a.outcome == Outcome::connect_failed ||
-                                   a.outcome == Outcome::moot;
             if (a.settled) forget(q);
-            else {
-                if (!never_ran && !q.maybe_ran) {
-                    q.maybe_ran = true;
-                    q.first_maybe = q.last_sent;
-                    if (host != hosts_.end())
-                        q.group_zone = host->second.entry.zone, q.group_cell = host->second.entry.cell;
-                }
-                if (q.out == 0) again(q);
-            }
+            else if (q.history.out() == 0) again(q);
         } else if (const auto left = left_out_.find(a.id); left != left_out_.end()) {
             customer = left->second.customer;
             customer->open = std::max(0, customer->open - 1);
@@ -873,12 +858,15 @@
 
     // A further attempt, only from the retry budget and only if it can still be in time.
     void again(Request& q) {
-        const RequestClass& k = s_.classes[q.arrival.request_class];
-        const bool keyed = k.effect == Effect::keyed && in_window(q, k);
-        const bool may = (!q.maybe_ran || k.effect == Effect::safe || keyed) && q.attempts < s_.max_attempts;
+        const RequestClass& k = class_of(q);
+        // At the host of the last attempt, of whose group a repeat's host must be.
+        const RequestHistory::Attempt& last = q.history.attempts().back();
+        const SendVerdict verdict = rules_.judge_send(k, q.history, {last.zone, last.cell}, now_);
+        if (verdict != SendVerdict::allowed) return finish(q, EndCause::repeat_not_allowed);
+        if (now_ >= q.latest_start) return finish(q, EndCause::too_late_for_a_repeat);
         // Turned away among fast answers: another host may well take it, and no work is added.
-        const bool spare = !q.maybe_ran && fast(seconds(k.aim));
-        if (!may || now_ >= q.latest_start || !(spare || take_retry())) return finish(q);
+        const bool spare = !q.history.may_have_run() && fast(seconds(k.aim));
+        if (!spare && !take_retry()) return finish(q, EndCause::retry_budget_spent);
         dispatch(q);
     }
     bool take_retry() {
@@ -891,7 +879,7 @@
     // Expected answers are missing: a second copy, or where none may be out a cancel, and the host is
     // ejected. Guards against silent death, cut links, stalls; harms a slow lone request.
     void check(Request& q) {
-        if (q.out == 0 || q.waiting) return;
+        if (q.history.out() == 0 || q.waiting) return;
         if (stalled()) return timer(beat_period, q.arrival.id, TimerKind::check);
         const auto it = hosts_.find(q.last_host);
         if (it == hosts_.end()) return;
@@ -900,11 +888,13 @@
         const double missing = h.out * quiet / std::max(h.answer_s > 0 ? h.answer_s : answer_s_, 1e-3);
         if (missing < silent_answers || quiet < check_earliest * aim_s()) return;
         fail(h, eject_after);
-        const bool safe = s_.classes[q.arrival.request_class].effect == Effect::safe;
-        if (!safe || q.attempts >= s_.max_attempts || now_ >= q.latest_start) return;
-        if (s_.second_copies && take_retry()) try_send(q);
-        else if (!s_.second_copies && s_.may_cancel)
-            actions_->push_back(CancelAttempt{q.arrival.id, q.attempts - 1});
+        const bool safe = class_of(q).effect == Effect::safe;
+        if (!safe || q.history.count() >= s_.max_attempts || now_ >= q.latest_start) return;
+        if (s_.second_copies && take_retry()) {
+            q.next_attempt = AttemptCause::second_copy;
+            try_send(q);
+        } else if (!s_.second_copies && s_.may_cancel)
+            actions_->push_back(CancelAttempt{q.arrival.id, q.history.count() - 1});
     }
 
     // Nobody waits for its attempts any more. Guards against hosts that work on for clients who have left;
@@ -912,7 +902,8 @@
     void on(const ClientLeft& e) {
         const auto it = requests_.find(e.id);
         if (it == requests_.end()) return;
-        for (int attempt = 0; it->second.out > 0 && s_.may_cancel && attempt < it->second.attempts; ++attempt)
+        const RequestHistory& history = it->second.history;
+        for (int attempt = 0; history.out() > 0 && s_.may_cancel && attempt < history.count(); ++attempt)
             actions_->push_back(CancelAttempt{e.id, attempt});
         forget(it->second);
     }
@@ -1108,7 +1099,8 @@
             }
             std::sort(lack.begin(), lack.end());
             for (const RequestId id : lack)
-                if (const auto it = requests_.find(id); it != requests_.end()) refuse(it->second, 0us);
+                if (const auto it = requests_.find(id); it != requests_.end())
+                    refuse(it->second, 0us, EndCause::handed_over);
         }
         // Taken back: as after a start, a former life may have spent all that is not left here.
         if (!e.away) boot_ = now_;
@@ -1191,12 +1183,13 @@
         const auto it = requests_.find(about);
         if (it == requests_.end()) return pump();
         Request& q = it->second;
-        if (kind == TimerKind::deadline) finish(q);
+        if (kind == TimerKind::deadline) finish(q, EndCause::deadline);
         else if (kind == TimerKind::release) dispatch(q);
         else if (kind == TimerKind::expiry && q.waiting) q.rounds = 0, dispatch(q);
         // A grant that comes later would find it too late to leave. Guards against lost requests and slow
         // homes that hold a refusal back until the client is about to give up.
-        else if (kind == TimerKind::expiry && !q.admitted && now_ >= q.latest_start) finish(q);
+        else if (kind == TimerKind::expiry && !q.admitted && now_ >= q.latest_start)
+            finish(q, EndCause::no_quota_in_time);
         else if (kind == TimerKind::check) check(q);
         else if (kind == TimerKind::probe && q.probing) choose(q);
         pump();
@@ -1224,7 +1217,8 @@
         });
     }
 
-    Settings s_;
+    const Settings s_;
+    const RequestRules rules_;
     std::mt19937_64 random_;
     Micros boot_, now_{0}, idle_after_ = idle_least;
     Actions* actions_ = nullptr;
--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -8,10 +8,10 @@
 #include <array>
 #include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <cstdio>
 #include <optional>
 
 #include "containment.h"
+#include "log.h"
 #include "shared_address.h"
 #include "socket_write.h"
 
@@ -51,6 +51,32 @@
 constexpr auto accept_again = 20ms;  // after an accept that failed for want of something
 }  // namespace
 
+const char* name_of(ClientClose cause) {
+    switch (cause) {
+        case ClientClose::client_left:
+            return "client_left";
+        case ClientClose::write_failed:
+            return "write_failed";
+        case ClientClose::answer_broken:
+            return "answer_broken";
+        case ClientClose::linger_over:
+            return "linger_over";
+        case ClientClose::stalled:
+            return "stalled";
+        case ClientClose::shortage:
+            return "shortage";
+        case ClientClose::flood:
+            return "flood";
+        case ClientClose::abandoned:
+            return "abandoned";
+        case ClientClose::handed_over:
+            return "handed_over";
+        case ClientClose::shut_down:
+            return "shut_down";
+    }
+    return "unknown";
+}
+
 // One client's connection. A read is always under way, so that a client that leaves is noticed at once.
 class ClientServer::Connection : public std::enable_shared_from_this<Connection> {
   public:
@@ -79,7 +105,8 @@
     void go_on_from(std::string_view unread, bool first) {
         first_ = first;
         if (!first) expect(idle_most);
-        if (unread.size() > unread_.max_size()) return close();  // no version of this program leaves so much
+        if (unread.size() > unread_.max_size())
+            return close(ClientClose::abandoned);  // no version of this program leaves so much
         unread_.commit(asio::buffer_copy(unread_.prepare(unread.size()), asio::buffer(unread)));
         unread_since_ = Steady::now();
         error_code ec;
@@ -124,7 +151,7 @@
         if (parser_ && !writing_ && !lingering_)
             return fail(http::status::request_timeout, "request not whole in time");
         if (kept()) return linger();
-        close();
+        close(lingering_ ? ClientClose::linger_over : ClientClose::stalled);
     }
     // No look at an idle connection holds until its close: what comes in between would have the close reset
     // it, and what its client has not read yet of the last answer could go with that.
@@ -181,7 +208,7 @@
     void break_off() {
         error_code ec;
         socket_.set_option(asio::socket_base::linger(true, 0), ec);  // not to be taken for an end
-        close();
+        close(ClientClose::answer_broken);
     }
 
     // After an answer given from outside: what the client has sent meanwhile is taken up.
@@ -201,10 +228,11 @@
         expect(penalty_);
     }
 
-    void close() {
+    void close(ClientClose cause) {
         if (std::exchange(closed_, true)) return;
         error_code ec;
         socket_.close(ec);
+        server_.note_closed(cause, request_);
         if (const std::uint64_t id = std::exchange(request_, 0)) {
             server_.in_hand_.erase(id);
             server_.callbacks_.on_left(id);
@@ -230,8 +258,9 @@
     void pass() {
         error_code ec;
         Descriptor socket(socket_.release(ec));
-        if (ec) return close();
+        if (ec) return close(ClientClose::abandoned);
         closed_ = true;
+        server_.note_closed(ClientClose::handed_over, 0);
         const auto keep = shared_from_this();
         list->erase(self);
         place_.give_back();
@@ -264,9 +293,9 @@
         socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code ec) {
             self->reading_ = false;
             if (self->closed_) return;
-            if (ec) return self->close();
+            if (ec) return self->close(ClientClose::client_left);
             contain(
-                "client", [&] { self->take_in(); }, [&] { self->close(); });
+                "client", [&] { self->take_in(); }, [&] { self->close(ClientClose::abandoned); });
         });
     }
     // Whether a further read has a place. Without one the parser waits for the end of a line that has none:
@@ -278,13 +307,14 @@
         // What is more than any client has to say by then is dropped, and the answer ends the connection.
         if (request_ != 0 && unread_.size() >= most_header) {
             keep_alive_ = false, close_after_ = true;
-            if (dropped_ >= linger_most_bytes) return close();
+            if (dropped_ >= linger_most_bytes) return close(ClientClose::flood);
             return drop();
         }
         if (!has_room()) return fail(http::status::request_header_fields_too_large, "line too long");
         error_code ec;
         const std::size_t n = socket_.read_some(unread_.prepare(read_at_once), ec);
-        if (ec && ec != asio::error::would_block && ec != asio::error::try_again) return close();
+        if (ec && ec != asio::error::would_block && ec != asio::error::try_again)
+            return close(lingering_ ? ClientClose::linger_over : ClientClose::client_left);
         // The time of a request counts from its arrival, however long it then stands unread.
         if (unread_.size() == 0 && n > 0)
             unread_since_ = std::exchange(first_bytes_at_, std::nullopt).value_or(Steady::now());
@@ -296,7 +326,8 @@
         std::array<char, drop_at_once> nowhere;
         error_code ec;
         dropped_ += socket_.read_some(asio::buffer(nowhere), ec);
-        if (ec && ec != asio::error::would_block && ec != asio::error::try_again) return close();
+        if (ec && ec != asio::error::would_block && ec != asio::error::try_again)
+            return close(lingering_ ? ClientClose::linger_over : ClientClose::client_left);
         read();
     }
 
@@ -411,7 +442,7 @@
         expect(write_most);
         error_code ec;
         from += write_available(socket_, std::string_view(out_).substr(from), ec);
-        if (ec) return close(), false;
+        if (ec) return close(ClientClose::write_failed), false;
         writing_ = from < out_.size();
         if (writing_) await_room(from);
         return !writing_;
@@ -420,9 +451,9 @@
     void await_room(std::size_t from) {
         socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this(), from](error_code failed) {
             if (self->closed_) return;
-            if (failed) return self->close();
+            if (failed) return self->close(ClientClose::write_failed);
             contain(
-                "client", [&] { self->on_room(from); }, [&] { self->close(); });
+                "client", [&] { self->on_room(from); }, [&] { self->close(ClientClose::abandoned); });
         });
     }
     void on_room(std::size_t from) {
@@ -515,12 +546,18 @@
     sweep();
     accept();
 }
+void ClientServer::note_closed(ClientClose cause, std::uint64_t request) {
+    LogLine(LogLevel::debug, "client_closed").with("cause", name_of(cause)).with("request", request);
+    if (callbacks_.on_closed) callbacks_.on_closed(cause, request);
+}
+
 ClientServer::~ClientServer() {
     budget_.on_freed({});
     budget_.on_shortage(SocketBudget::Side::client, {});
     callbacks_.on_left = [](std::uint64_t) {};
-    while (!newcomers_.empty()) newcomers_.front()->close();
-    while (!known_.empty()) known_.front()->close();
+    callbacks_.on_closed = {};
+    while (!newcomers_.empty()) newcomers_.front()->close(ClientClose::shut_down);
+    while (!known_.empty()) known_.front()->close(ClientClose::shut_down);
 }
 
 void ClientServer::open() {
@@ -528,7 +565,8 @@
     const Connections waiting = newcomers_;  // parsing moves them
     for (const auto& connection : waiting)
         contain(
-            "client", [&] { connection->start_parsing(); }, [&] { connection->close(); });
+            "client", [&] { connection->start_parsing(); },
+            [&] { connection->close(ClientClose::abandoned); });
 }
 // One accept is under way unless there is no room for a further client: then the next comes with a freed
 // place.
@@ -555,7 +593,7 @@
     if (!short_of_something) return accept();
     // Guards against a spin: whoever holds the descriptors, the connection that waits would wake this at once
     // and for ever. Room is made, and the next try comes after a pause.
-    std::fprintf(stderr, "accept: %s\n", ec.message().c_str());
+    LogLine(LogLevel::warning, "accept_failed").with("error", ec.message());
     make_room();
     accept_pause_.expires_after(accept_again);
     accept_pause_.async_wait([this](error_code stopped) {
@@ -628,13 +666,13 @@
     const auto it = std::find_if(newcomers_.begin(), newcomers_.end(),
                                  [&](const auto& c) { return c->gives_nothing(since); });
     if (it == newcomers_.end()) return false;
-    (*it)->close();
+    (*it)->close(ClientClose::shortage);
     return true;
 }
 bool ClientServer::close_one_idle() {
     const auto it = std::find_if(known_.begin(), known_.end(), [](const auto& c) { return c->idle(); });
     if (it == known_.end()) return false;
-    (*it)->close();
+    (*it)->close(ClientClose::shortage);
     return true;
 }
 // Guards against crowds that connect and say nothing, or never end: they give way to each other before any
@@ -710,7 +748,7 @@
         const auto connection = *it++;  // it may end now
         if (!connection->overdue(now)) continue;
         contain(
-            "client", [&] { connection->time_out(); }, [&] { connection->close(); });
+            "client", [&] { connection->time_out(); }, [&] { connection->close(ClientClose::abandoned); });
     }
 }
 void ClientServer::sweep() {
--- a/src/node/client_server.h
+++ b/src/node/client_server.h
@@ -28,6 +28,22 @@
     ByteBudget::Room room;       // its body's
 };
 
+// Why a client's connection has ended.
+enum class ClientClose {
+    client_left,    // it closed, or its connection broke
+    write_failed,   // an answer could not be written
+    answer_broken,  // a long answer broke off at its host, and the client has to see that
+    linger_over,    // ended by this side after its last answer
+    stalled,        // it took nothing of its answer, or was silent, for too long
+    shortage,       // its place is needed for another
+    flood,          // it sent far more than a request behind one in hand
+    abandoned,      // a step of it failed in this program
+    handed_over,    // to the next process of an upgrade
+    shut_down,      // with this process
+};
+constexpr std::size_t client_closes = 10;
+const char* name_of(ClientClose cause);
+
 class ClientServer {
   public:
     struct Callbacks {
@@ -35,6 +51,8 @@
         std::function<void(std::uint64_t id)> on_left;        // the client closed before it had its answer
         std::function<bool()> ready;                          // what /_health tells
         std::function<void(std::uint64_t id)> on_taken = {};  // the last piece of a long answer has gone
+        // `request`: in hand without an answer; 0: none. Called before `on_left`.
+        std::function<void(ClientClose cause, std::uint64_t request)> on_closed = {};
     };
 
     // Takes a connection that is between requests, what has been read of its next one, and whether that is
@@ -94,6 +112,7 @@
     bool connection_waits();
     Steady::time_point came_by() const;
     std::shared_ptr<Connection> take_from_hand(std::uint64_t id);
+    void note_closed(ClientClose cause, std::uint64_t request);
     bool close_one_newcomer(std::chrono::steady_clock::duration silent_for);
     bool close_one_idle();
     bool make_room();
--- a/src/node/containment.h
+++ b/src/node/containment.h
@@ -1,9 +1,10 @@
 // Keeps what one connection throws from ending the process.
 #pragma once
 
-#include <cstdio>
 #include <exception>
 
+#include "log.h"
+
 namespace spartrack {
 
 // Runs `step` of one connection. What it throws (a bound of a buffer, memory that is short) ends that
@@ -13,7 +14,7 @@
     try {
         step();
     } catch (const std::exception& error) {
-        std::fprintf(stderr, "%s connection: abandoned: %s\n", whose, error.what());
+        LogLine(LogLevel::error, "connection_abandoned").with("whose", whose).with("error", error.what());
         abandon();
     }
 }
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -1,8 +1,8 @@
 #include "discovery.h"
 
 #include <algorithm>
-#include <cstdio>
 
+#include "log.h"
 #include "socket_write.h"
 
 namespace spartrack {
@@ -210,7 +210,7 @@
 // Only the first failure of a row is logged. After one that may have cost news the whole list is asked for.
 void Discovery::ask_anew(const char* what, Lost lost) {
     const bool first = !std::exchange(failing_, true);
-    if (first) std::fprintf(stderr, "discovery: %s\n", what);
+    if (first) LogLine(LogLevel::warning, "discovery_failed").with("cause", what);
     start_over();
     if (lost == Lost::connection) version_.reset();
     // What a silent watch misses counts as told some seconds on: it has waited long enough.
--- a/src/node/handover.cpp
+++ b/src/node/handover.cpp
@@ -12,6 +12,8 @@
 #include <cstring>
 #include <optional>
 
+#include "log.h"
+
 namespace spartrack {
 namespace asio = boost::asio;
 using boost::system::error_code;
@@ -167,7 +169,7 @@
         ::bind(socket.get(), reinterpret_cast<const sockaddr*>(&*address), sizeof *address) != 0 ||
         ::listen(socket.get(), 4) != 0 ||
         ::renameat(folder.get(), fresh.c_str(), folder.get(), name_.c_str()) != 0) {
-        std::fprintf(stderr, "upgrade: no place to wait for the next process: %s\n", std::strerror(errno));
+        LogLine(LogLevel::warning, "upgrade_no_place_to_wait").with("error", std::strerror(errno));
         return;
     }
     stop();
--- a/src/node/host_pool.cpp
+++ b/src/node/host_pool.cpp
@@ -6,6 +6,7 @@
 
 #include "clock.h"
 #include "containment.h"
+#include "log.h"
 #include "socket_write.h"
 
 namespace spartrack {
@@ -24,6 +25,50 @@
 constexpr std::chrono::milliseconds idle_margin = 1s, sweep_period = 250ms;
 }  // namespace
 
+const char* name_of(HostOutcome outcome) {
+    switch (outcome) {
+        case HostOutcome::served:
+            return "served";
+        case HostOutcome::error:
+            return "error";
+        case HostOutcome::full:
+            return "full";
+        case HostOutcome::connect_failed:
+            return "connect_failed";
+        case HostOutcome::reset:
+            return "reset";
+        case HostOutcome::timeout:
+            return "timeout";
+        case HostOutcome::cancelled:
+            return "cancelled";
+        case HostOutcome::withdrawn:
+            return "withdrawn";
+    }
+    return "unknown";
+}
+
+const char* name_of(HostClose cause) {
+    switch (cause) {
+        case HostClose::exchange_failed:
+            return "exchange_failed";
+        case HostClose::not_kept:
+            return "not_kept";
+        case HostClose::idle_for_long:
+            return "idle_for_long";
+        case HostClose::host_ended_it:
+            return "host_ended_it";
+        case HostClose::host_leaving:
+            return "host_leaving";
+        case HostClose::shortage:
+            return "shortage";
+        case HostClose::handed_over:
+            return "handed_over";
+        case HostClose::shut_down:
+            return "shut_down";
+    }
+    return "unknown";
+}
+
 struct HostPool::Host {
     std::string uid;
     tcp::endpoint endpoint;
@@ -122,6 +167,7 @@
     }
     Descriptor release() {
         state_ = State::closed;
+        pool_.note_closed(HostClose::handed_over, host_->uid);
         timer_.cancel();
         error_code ec;
         Descriptor socket(socket_.release(ec));
@@ -129,8 +175,9 @@
         return socket;
     }
 
-    void close() {
+    void close(HostClose cause) {
         state_ = State::closed;
+        pool_.note_closed(cause, host_->uid);
         timer_.cancel();
         error_code ec;
         socket_.close(ec);
@@ -316,7 +363,9 @@
             host_->idle.push_back(self);
             pool_.resting_.insert(host_);
         } else {
-            close();
+            const bool answered = result.outcome == HostOutcome::served ||
+                                  result.outcome == HostOutcome::full || result.outcome == HostOutcome::error;
+            close(answered ? HostClose::not_kept : HostClose::exchange_failed);
         }
         if (is_probe_) pool_.callbacks_.on_probe(host_->uid, std::move(result));
         else pool_.callbacks_.on_attempt(key_, host_->uid, std::move(result));
@@ -325,7 +374,7 @@
         auto& idle = host_->idle;
         const auto self = shared_from_this();
         idle.erase(std::find(idle.begin(), idle.end(), self));
-        close();
+        close(HostClose::host_ended_it);
     }
 
     HostPool& pool_;
@@ -360,13 +409,19 @@
 }
 HostPool::~HostPool() {
     budget_.on_shortage(SocketBudget::Side::host, {});
-    for (const auto& connection : busy_) connection->close();
+    callbacks_.on_closed = {};
+    for (const auto& connection : busy_) connection->close(HostClose::shut_down);
     for (const auto& [uid, host] : hosts_) {
-        for (const auto& connection : host->idle) connection->close();
+        for (const auto& connection : host->idle) connection->close(HostClose::shut_down);
         host->idle.clear();  // a connection holds its host, so neither would end while the host holds it
     }
 }
 
+void HostPool::note_closed(HostClose cause, const std::string& uid) {
+    LogLine(LogLevel::debug, "host_connection_closed").with("cause", name_of(cause)).with("host", uid);
+    if (callbacks_.on_closed) callbacks_.on_closed(cause);
+}
+
 void HostPool::update(const TargetList& list) {
     if (list.whole)
         for (const auto& [uid, host] : hosts_) host->listed_ready = false;
@@ -407,7 +462,7 @@
 void HostPool::close_idle_of(Host& host) {
     std::erase_if(host.idle, [&host](const auto& connection) {
         const bool stays = host.takes_new() && connection->endpoint() == host.endpoint;
-        if (!stays) connection->close();
+        if (!stays) connection->close(HostClose::host_leaving);
         return !stays;
     });
 }
@@ -437,7 +492,7 @@
         const auto last = std::move(idle[at]);
         idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(at));
         if (last->silent()) connection = last;
-        else last->close();
+        else last->close(HostClose::host_ended_it);
     }
     if (!connection) {
         auto place = budget_.take(SocketBudget::Side::host);
@@ -493,7 +548,7 @@
             if (connection->silent())
                 pass(connection->release(), host->uid,
                      std::chrono::duration_cast<std::chrono::microseconds>(now - connection->idle_since()));
-            else connection->close();
+            else connection->close(HostClose::host_ended_it);
 }
 void HostPool::adopt(Descriptor&& socket, const std::string& uid, std::chrono::microseconds idle_for) {
     const auto found = hosts_.find(uid);
@@ -519,7 +574,7 @@
     if (oldest == nullptr) return false;
     const auto connection = std::move(oldest->idle.front());
     oldest->idle.erase(oldest->idle.begin());
-    connection->close();
+    connection->close(HostClose::shortage);
     return true;
 }
 
@@ -530,7 +585,7 @@
         auto& idle = host->idle;
         const auto fresh =
             std::find_if(idle.begin(), idle.end(), [&](const auto& c) { return c->idle_since() > too_old; });
-        std::for_each(idle.begin(), fresh, [](const auto& c) { c->close(); });
+        std::for_each(idle.begin(), fresh, [](const auto& c) { c->close(HostClose::idle_for_long); });
         idle.erase(idle.begin(), fresh);
     }
     sweep_timer_.expires_after(sweep_period);
--- a/src/node/host_pool.h
+++ b/src/node/host_pool.h
@@ -31,6 +31,22 @@
     withdrawn,  // before its last byte was written: never ran
 };
 
+const char* name_of(HostOutcome outcome);
+
+// Why a connection to a host has ended.
+enum class HostClose {
+    exchange_failed,  // by its outcome: a time-out, a cancel, a reset, an answer that can't be read
+    not_kept,         // its host ends it after the answer, or takes nothing new
+    idle_for_long,
+    host_ended_it,  // while it was idle: an end, or bytes that nobody asked for
+    host_leaving,   // the list or operators took its host out, or the host has moved
+    shortage,       // its place is needed for another
+    handed_over,    // to the next process of an upgrade
+    shut_down,      // with this process
+};
+constexpr std::size_t host_closes = 8;
+const char* name_of(HostClose cause);
+
 struct HostResult {
     HostOutcome outcome = HostOutcome::error;
     std::chrono::microseconds took{0};
@@ -54,6 +70,7 @@
         // cancelled.
         std::function<bool(const AttemptKey&, const std::string& uid, HostResult&&)> on_begun = {};
         std::function<void(const AttemptKey&, std::string&& piece)> on_piece = {};
+        std::function<void(HostClose cause)> on_closed = {};
     };
 
     HostPool(boost::asio::io_context& io, SocketBudget& budget, std::chrono::microseconds connect_timeout,
@@ -86,6 +103,7 @@
     class Connection;
     struct Host;
 
+    void note_closed(HostClose cause, const std::string& uid);
     void close_idle_of(Host& host);
     void cut_unsent();
     template <class Which>
--- /dev/null
+++ b/src/node/log.cpp
@@ -0,0 +1,127 @@
+#include "log.h"
+
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdio>
+#include <memory>
+
+namespace spartrack {
+namespace {
+using Steady = std::chrono::steady_clock;
+
+constexpr std::string_view default_level = "info";
+constexpr std::array<std::string_view, 5> level_names{"debug", "info", "warning", "error", "off"};
+// A gateway's own work is worth more than its log: so many lines a second, and as many at once.
+constexpr double most_lines_per_second = 1000;
+
+spdlog::level::level_enum level_of(LogLevel level) {
+    switch (level) {
+        case LogLevel::debug:
+            return spdlog::level::debug;
+        case LogLevel::info:
+            return spdlog::level::info;
+        case LogLevel::warning:
+            return spdlog::level::warn;
+        case LogLevel::error:
+            return spdlog::level::err;
+        case LogLevel::off:
+            break;
+    }
+    return spdlog::level::off;
+}
+
+class LineBudget {
+  public:
+    bool take() {
+        const auto now = Steady::now();
+        const double earned = std::chrono::duration<double>(now - since_).count() * most_lines_per_second;
+        lines_ = std::min(most_lines_per_second, lines_ + earned);
+        since_ = now;
+        if (lines_ < 1) return ++dropped_, false;
+        lines_ -= 1;
+        return true;
+    }
+    std::int64_t take_dropped() { return std::exchange(dropped_, 0); }
+
+  private:
+    Steady::time_point since_ = Steady::now();
+    double lines_ = most_lines_per_second;
+    std::int64_t dropped_ = 0;
+};
+
+struct Log {
+    Log() : logger("spartrack", std::make_shared<spdlog::sinks::stderr_sink_st>()) {
+        // The wall clock may be stepped: the monotonic one stands beside it in each line.
+        logger.set_pattern("%Y-%m-%dT%H:%M:%S.%eZ level=%l %v", spdlog::pattern_time_type::utc);
+        logger.set_level(spdlog::level::info);
+    }
+    spdlog::logger logger;
+    LineBudget budget;
+};
+
+Log& the_log() {
+    static Log log;
+    return log;
+}
+
+bool needs_quotes(std::string_view text) {
+    return text.empty() ||
+           std::any_of(text.begin(), text.end(), [](char c) { return c <= ' ' || c == '"' || c == '='; });
+}
+}  // namespace
+
+void set_log_level(const char* name) {
+    const auto found =
+        std::find(level_names.begin(), level_names.end(), name != nullptr ? name : default_level);
+    if (found == level_names.end()) return;
+    the_log().logger.set_level(level_of(static_cast<LogLevel>(found - level_names.begin())));
+}
+bool logs(LogLevel level) { return the_log().logger.should_log(level_of(level)); }
+
+LogLine::LogLine(LogLevel level, std::string_view event) : level_(level), written_(logs(level)) {
+    if (!written_) return;
+    with("mono", std::chrono::duration_cast<std::chrono::microseconds>(Steady::now().time_since_epoch()));
+    with("event", event);
+}
+LogLine::~LogLine() {
+    Log& log = the_log();
+    if (!written_ || !log.budget.take()) return;
+    if (const std::int64_t dropped = log.budget.take_dropped(); dropped > 0) with("lines_dropped", dropped);
+    log.logger.log(level_of(level_), spdlog::string_view_t(text_.data(), text_.size()));
+}
+
+void LogLine::add(std::string_view key, std::string_view text) {
+    if (!text_.empty()) text_ += ' ';
+    text_.append(key).append(1, '=').append(text);
+}
+LogLine& LogLine::with(std::string_view key, std::string_view text) {
+    if (!written_) return *this;
+    if (!needs_quotes(text)) return add(key, text), *this;
+    std::string quoted = "\"";
+    for (const char c : text) {
+        if (c == '"' || c == '\\') quoted += '\\';
+        quoted += c < ' ' ? '?' : c;
+    }
+    add(key, quoted += '"');
+    return *this;
+}
+LogLine& LogLine::with(std::string_view key, std::int64_t number) {
+    if (!written_) return *this;
+    char text[24];
+    const auto end = std::to_chars(std::begin(text), std::end(text), number).ptr;
+    add(key, {text, static_cast<std::size_t>(end - text)});
+    return *this;
+}
+LogLine& LogLine::with(std::string_view key, std::chrono::microseconds span) {
+    if (!written_) return *this;
+    char text[32];
+    const int size = std::snprintf(text, sizeof text, "%.3fms", static_cast<double>(span.count()) / 1e3);
+    add(key, {text, static_cast<std::size_t>(size)});
+    return *this;
+}
+
+}  // namespace spartrack
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -9,6 +9,7 @@
 #include <exception>
 #include <functional>
 
+#include "log.h"
 #include "runtime.h"
 
 namespace {
@@ -26,6 +27,7 @@
 int main() {
     std::signal(SIGPIPE, SIG_IGN);
     const auto environment = [](const char* name) -> const char* { return std::getenv(name); };
+    spartrack::set_log_level(environment("SPARTRACK_LOG"));
     try {
         const spartrack::Config config = spartrack::load_config(environment);
         const std::size_t sockets = socket_limit(config.sockets);
@@ -42,7 +44,8 @@
                 try {
                     runtime.reload(spartrack::load_config(environment));
                 } catch (const std::exception& error) {
-                    std::fprintf(stderr, "spartrack: configuration kept: %s\n", error.what());
+                    spartrack::LogLine(spartrack::LogLevel::error, "configuration_kept")
+                        .with("error", error.what());
                 }
                 await_hangup();
             });
--- /dev/null
+++ b/src/node/metrics.h
@@ -0,0 +1,39 @@
+// Counts of what the gateway did and why, as operators read them.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "client_server.h"
+#include "host_pool.h"
+#include "silverreach/interface.h"
+#include "silverreach/rule_guard.h"
+
+namespace spartrack {
+
+class Metrics {
+  public:
+    void request_received() { ++requests_; }
+    void request_rejected() { ++rejected_; }
+    void answered(unsigned status) { ++answers_[status]; }
+    void refused(silverreach::EndCause cause) { ++refusals_[silverreach::name_of(cause)]; }
+    void failed(silverreach::EndCause cause) { ++failures_[silverreach::name_of(cause)]; }
+    void attempt_begun(silverreach::AttemptCause cause) { ++attempts_begun_[silverreach::name_of(cause)]; }
+    void attempt_ended(HostOutcome outcome) { ++attempts_ended_[name_of(outcome)]; }
+    void client_closed(ClientClose cause) { ++client_closes_[name_of(cause)]; }
+    void host_closed(HostClose cause) { ++host_closes_[name_of(cause)]; }
+
+    // In the text format of Prometheus.
+    std::string text(const silverreach::RuleGuard::Violations& violations) const;
+
+  private:
+    using CountByName = std::map<std::string, std::uint64_t, std::less<>>;
+
+    std::uint64_t requests_ = 0, rejected_ = 0;
+    std::map<unsigned, std::uint64_t> answers_;  // by status
+    CountByName refusals_, failures_, attempts_begun_, attempts_ended_, client_closes_, host_closes_;
+};
+
+}  // namespace spartrack
--- a/src/node/mgmt_door.cpp
+++ b/src/node/mgmt_door.cpp
@@ -2,9 +2,9 @@
 
 #include <array>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <cstdio>
 #include <optional>
 
+#include "log.h"
 #include "socket_write.h"
 
 namespace spartrack {
@@ -20,6 +20,10 @@
 constexpr auto linger_most = 200ms;      // for the caller to close first
 constexpr auto accept_again = 20ms;      // after an accept that failed for want of something
 
+Answer plain(http::status status) {
+    return make_answer(status, std::string(http::obsolete_reason(status)) + '\n');
+}
+
 std::string trimmed(std::string_view text) {
     const auto first = text.find_first_not_of(" \t\r\n");
     if (first == text.npos) return {};
@@ -64,9 +68,9 @@
     }
 
   private:
-    void answer(http::status status) {
+    void answer(http::status status) { answer(plain(status)); }
+    void answer(Answer&& answer) {
         answered_ = true;
-        Answer answer = make_answer(status, std::string(http::obsolete_reason(status)) + '\n');
         answer.keep_alive(false);
         answer.prepare_payload();
         if (parser_.is_header_done() && parser_.get().method() == http::verb::head) answer.body().clear();
@@ -116,8 +120,11 @@
     bool answered_ = false, closed_ = false;
 };
 
-MgmtDoor::MgmtDoor(asio::io_context& io, const tcp::endpoint& listen, OnCall on_call)
-    : acceptor_(io, listen, true), pause_(io), on_call_(std::move(on_call)) {
+MgmtDoor::MgmtDoor(asio::io_context& io, const tcp::endpoint& listen, OnCall on_call, OnMetrics on_metrics)
+    : acceptor_(io, listen, true),
+      pause_(io),
+      on_call_(std::move(on_call)),
+      on_metrics_(std::move(on_metrics)) {
     accept();
 }
 MgmtDoor::~MgmtDoor() {
@@ -128,7 +135,7 @@
     acceptor_.async_accept([this](error_code ec, tcp::socket socket) {
         if (ec == asio::error::operation_aborted) return;
         if (ec) {
-            std::fprintf(stderr, "mgmt: accept: %s\n", ec.message().c_str());
+            LogLine(LogLevel::warning, "mgmt_accept_failed").with("error", ec.message());
             pause_.expires_after(accept_again);
             return pause_.async_wait([this](error_code stopped) {
                 if (!stopped) accept();
@@ -142,7 +149,15 @@
     });
 }
 
-http::status MgmtDoor::hear(const Request& request) const {
+Answer MgmtDoor::hear(const Request& request) const {
+    if (request.target() != "/metrics" || !on_metrics_) return plain(carry_out(request));
+    if (request.method() != http::verb::get) return plain(http::status::method_not_allowed);
+    Answer answer = make_answer(http::status::ok, on_metrics_());
+    answer.set(http::field::content_type, "text/plain; version=0.0.4");
+    return answer;
+}
+
+http::status MgmtDoor::carry_out(const Request& request) const {
     const auto target = request.target();
     const bool status = target == "/status", enter = target == "/maintenance/enter",
                exit = target == "/maintenance/exit", stand_by = target == "/standby",
--- a/src/node/mgmt_door.h
+++ b/src/node/mgmt_door.h
@@ -24,9 +24,11 @@
 class MgmtDoor {
   public:
     using OnCall = std::function<http::status(const MgmtCall&)>;
+    using OnMetrics = std::function<std::string()>;  // the text of /metrics
 
     // Throws boost::system::system_error where the address can't be bound.
-    MgmtDoor(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& listen, OnCall on_call);
+    MgmtDoor(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& listen, OnCall on_call,
+             OnMetrics on_metrics = {});
     ~MgmtDoor();
     MgmtDoor(const MgmtDoor&) = delete;
     MgmtDoor& operator=(const MgmtDoor&) = delete;
@@ -38,11 +40,13 @@
     using Callers = std::list<std::shared_ptr<Caller>>;
 
     void accept();
-    http::status hear(const Request& request) const;
+    Answer hear(const Request& request) const;
+    http::status carry_out(const Request& request) const;
 
     boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::steady_timer pause_;
     OnCall on_call_;
+    OnMetrics on_metrics_;
     Callers callers_;  // the one that came first in front
 };
 
--- a/src/node/runtime.cpp
+++ b/src/node/runtime.cpp
@@ -9,6 +9,8 @@
 #include <cstdlib>
 #include <string_view>
 
+#include "log.h"
+
 namespace spartrack {
 namespace sr = silverreach;
 using boost::system::error_code;
@@ -72,6 +74,22 @@
                                             : sr::HostState::gone;
 }
 
+const char* name_of(TargetState state) {
+    return state == TargetState::ready ? "ready" : state == TargetState::draining ? "draining" : "gone";
+}
+void log_list(const TargetList& list) {
+    LogLine(LogLevel::info, "hosts_listed")
+        .with("revision", list.version)
+        .with("whole", list.whole ? "yes" : "no")
+        .with("hosts", static_cast<std::int64_t>(list.targets.size()));
+    if (!logs(LogLevel::debug)) return;
+    for (const Target& target : list.targets)
+        LogLine(LogLevel::debug, "host_listed")
+            .with("host", target.uid)
+            .with("state", name_of(target.state))
+            .with("boot_ms", target.boot_ms);
+}
+
 // Runs `make`; a failure to bind names the key whose address it was.
 template <class Make>
 auto bound(const char* key, Make make) {
@@ -114,29 +132,21 @@
       config_(config),
       settings_(config.settings),
       gateway_(config.settings, config.seed, clock_.now()),
+      guard_(config.settings),
       check_(config.settings),
       timer_(io),
       told_timer_(io),
       drain_timer_(io) {
-    pool_ = std::make_unique<HostPool>(
-        io, budget, config.connect_timeout, config.idle_limit,
-        HostPool::Callbacks{[this](const auto& key, const auto& uid, auto&& result) {
-                                on_attempt(key, uid, std::move(result));
-                            },
-                            [this](const auto& uid, auto&& result) { on_probe(uid, std::move(result)); },
-                            [this](const auto& key, const auto& uid, auto&& result) {
-                                return on_begun(key, uid, std::move(result));
-                            },
-                            [this](const auto& key, std::string&& piece) {
-                                clients_->go_on(key.request, std::move(piece));
-                            }});
+    pool_ =
+        std::make_unique<HostPool>(io, budget, config.connect_timeout, config.idle_limit, pool_callbacks());
     TargetList known = config.known;
     known.whole = true;
     on_list(known);
     if (config.mgmt)
         door_ = bound("mgmt", [&] {
-            return std::make_unique<MgmtDoor>(io, *config.mgmt,
-                                              [this](const MgmtCall& call) { return on_call(call); });
+            return std::make_unique<MgmtDoor>(
+                io, *config.mgmt, [this](const MgmtCall& call) { return on_call(call); },
+                [this] { return metrics(); });
         });
     told_timer_.expires_after(first_word);
     told_timer_.async_wait([this](error_code stopped) {
@@ -164,6 +174,35 @@
     if (!upgrade_->begin()) serve({});
 }
 
+HostPool::Callbacks Runtime::pool_callbacks() {
+    HostPool::Callbacks callbacks;
+    callbacks.on_attempt = [this](const auto& key, const auto& uid, auto&& result) {
+        on_attempt(key, uid, std::move(result));
+    };
+    callbacks.on_probe = [this](const auto& uid, auto&& result) { on_probe(uid, std::move(result)); };
+    callbacks.on_begun = [this](const auto& key, const auto& uid, auto&& result) {
+        return on_begun(key, uid, std::move(result));
+    };
+    callbacks.on_piece = [this](const auto& key, std::string&& piece) {
+        clients_->go_on(key.request, std::move(piece));
+    };
+    callbacks.on_closed = [this](HostClose cause) { metrics_.host_closed(cause); };
+    return callbacks;
+}
+ClientServer::Callbacks Runtime::client_callbacks() {
+    ClientServer::Callbacks callbacks;
+    callbacks.on_request = [this](ClientRequest&& request) { on_request(std::move(request)); };
+    callbacks.on_left = [this](std::uint64_t id) { on_left(id); };
+    callbacks.ready = [this] { return ready(); };
+    callbacks.on_taken = [this](std::uint64_t id) {
+        if (const auto it = live_.find(id); it != live_.end()) pool_->read_on({id, it->second.passing_on});
+    };
+    callbacks.on_closed = [this](ClientClose cause, std::uint64_t request) {
+        on_client_closed(cause, request);
+    };
+    return callbacks;
+}
+
 // ---- upgrades ----
 
 void Runtime::serve(Upgrade::Left&& left) {
@@ -183,15 +222,9 @@
                                               settings_.rank, on_message);
         });
     clients_ = bound("listen", [&] {
-        return std::make_unique<ClientServer>(
-            io_, config_.listen, budget_, config_.memory_mb * mega / bodies_part,
-            ClientServer::Callbacks{[this](ClientRequest&& request) { on_request(std::move(request)); },
-                                    [this](std::uint64_t id) { on_left(id); }, [this] { return ready(); },
-                                    [this](std::uint64_t id) {
-                                        if (const auto it = live_.find(id); it != live_.end())
-                                            pool_->read_on({id, it->second.passing_on});
-                                    }},
-            std::move(left.listener));
+        return std::make_unique<ClientServer>(io_, config_.listen, budget_,
+                                              config_.memory_mb * mega / bodies_part, client_callbacks(),
+                                              std::move(left.listener));
     });
     clients_->stand_by(standby_);
     if (told_) clients_->open();
@@ -295,18 +328,41 @@
     if (it == live_.end()) return;
     Live& live = it->second;
     const int attempt = live.attempts++;
-    const Micros left = live.deadline - clock_.now();
-    if (live.answered || attempt >= settings_.max_attempts || left <= 0us) {
-        sr::AttemptEnded ended{action.id, attempt, action.host, sr::Outcome::moot, 0us, live.answered, 0, {}};
-        return feed(std::move(ended));
-    }
+    const Micros now = clock_.now(), left = live.deadline - now;
+    const sr::SendVerdict verdict = guard_.begin_attempt(action.id, attempt, action.host, now);
+    LogLine(verdict == sr::SendVerdict::allowed ? LogLevel::debug : LogLevel::warning, "attempt")
+        .with("request", action.id)
+        .with("trace", live.trace)
+        .with("attempt", attempt)
+        .with("cause", name_of(action.cause))
+        .with("host", action.host)
+        .with("left", left)
+        .with("verdict", name_of(verdict));
+    if (verdict != sr::SendVerdict::allowed) return end_unsent(action, attempt, live.answered);
+    metrics_.attempt_begun(action.cause);
     ++live.out;
     pool_->attempt({action.id, attempt}, action.host, live.message,
                    action.within > 0us ? std::min(action.within, left) : left);
 }
+void Runtime::end_unsent(const sr::SendAttempt& action, int attempt, bool answered) {
+    feed(sr::AttemptEnded{action.id, attempt, action.host, sr::Outcome::moot, 0us, answered, 0, {}});
+}
 void Runtime::carry_out(sr::Refuse& action) {
     const auto it = live_.find(action.id);
-    if (it == live_.end()) return;
+    if (it == live_.end() || it->second.answered) return;
+    if (!guard_.may_refuse(action.id)) {
+        LogLine(LogLevel::error, "refusal_held_back")
+            .with("request", action.id)
+            .with("trace", it->second.trace);
+        sr::Fail fail{action.id, action.cause};
+        return carry_out(fail);
+    }
+    LogLine(LogLevel::debug, "refused")
+        .with("request", action.id)
+        .with("trace", it->second.trace)
+        .with("cause", name_of(action.cause))
+        .with("retry_after", action.retry_after);
+    metrics_.refused(action.cause);
     Answer answer = make_answer(it->second.attempts == 0 ? http::status::too_many_requests
                                                          : http::status::service_unavailable);
     if (action.retry_after > 0us) {
@@ -318,10 +374,19 @@
     finish(it, std::move(answer));
 }
 void Runtime::carry_out(sr::Fail& action) {
-    if (const auto it = live_.find(action.id); it != live_.end())
-        finish(it, make_answer(http::status::gateway_timeout));
+    const auto it = live_.find(action.id);
+    if (it == live_.end() || it->second.answered) return;
+    LogLine(LogLevel::debug, "failed")
+        .with("request", action.id)
+        .with("trace", it->second.trace)
+        .with("cause", name_of(action.cause));
+    metrics_.failed(action.cause);
+    finish(it, make_answer(http::status::gateway_timeout));
+}
+void Runtime::carry_out(sr::CancelAttempt& action) {
+    LogLine(LogLevel::debug, "attempt_cancelled").with("request", action.id).with("attempt", action.attempt);
+    pool_->cancel({action.id, action.attempt});
 }
-void Runtime::carry_out(sr::CancelAttempt& action) { pool_->cancel({action.id, action.attempt}); }
 void Runtime::carry_out(sr::ProbeHost& action) { pool_->probe(action.host); }
 void Runtime::carry_out(sr::SetTimer& action) {
     // On the grid of the tick, as in the simulator: timers that fall close together cost one wake-up.
@@ -335,6 +400,14 @@
 void Runtime::finish(LiveAt live, Answer&& answer) {
     const std::uint64_t id = live->first;
     if (live->second.answered) return;
+    const Micros now = clock_.now();
+    LogLine(LogLevel::debug, "answered")
+        .with("request", id)
+        .with("trace", live->second.trace)
+        .with("status", static_cast<int>(answer.result_int()))
+        .with("left", live->second.deadline - now);
+    metrics_.answered(answer.result_int());
+    guard_.answered(id, now);
     close(live);
     clients_->answer(id, std::move(answer));
 }
@@ -353,6 +426,7 @@
     const auto live = live_.find(id);
     if (live == live_.end() || !live->second.answered || live->second.out > 0) return;
     open_ids_.erase(live->second.trace);
+    guard_.forget(id);
     live_.erase(live);
 }
 
@@ -365,7 +439,14 @@
     // one.
     if (!complaint && open_ids_.count(facts.id) > 0)
         complaint = {http::status::conflict, "X-Trace-Id: expected one that is not open"};
-    if (complaint) return clients_->reject(request.id, make_answer(complaint.status, complaint.text + '\n'));
+    metrics_.request_received();
+    if (complaint) {
+        metrics_.request_rejected();
+        LogLine(LogLevel::debug, "request_rejected")
+            .with("request", request.id)
+            .with("cause", complaint.text);
+        return clients_->reject(request.id, make_answer(complaint.status, complaint.text + '\n'));
+    }
     sr::RequestArrived event;
     event.id = request.id;
     event.customer = std::move(facts.customer);
@@ -382,6 +463,13 @@
     live.trace = std::move(facts.id);
     open_ids_.insert(live.trace);
     live.deadline = deadline;
+    LogLine(LogLevel::debug, "request_received")
+        .with("request", request.id)
+        .with("trace", live.trace)
+        .with("class", settings_.classes[static_cast<std::size_t>(event.request_class)].name)
+        .with("customer", event.customer)
+        .with("left", event.time_left);
+    guard_.request_arrived(request.id, event.request_class, deadline);
     waits_.push({live.deadline, request.id, true});
     feed(std::move(event));
 }
@@ -391,9 +479,25 @@
     if (it == live_.end()) return;
     if (it->second.passing_on >= 0) return pool_->cancel({id, it->second.passing_on});
     if (it->second.answered) return;
+    LogLine(LogLevel::debug, "client_left").with("request", id).with("trace", it->second.trace);
+    guard_.client_left(id);
     feed_before(sr::ClientLeft{id}, [&] { close(it); });
 }
 
+// A connection that this side closes with a request in hand leaves that without an answer.
+void Runtime::on_client_closed(ClientClose cause, std::uint64_t request) {
+    metrics_.client_closed(cause);
+    const bool own_doing = cause == ClientClose::shortage || cause == ClientClose::linger_over ||
+                           cause == ClientClose::stalled || cause == ClientClose::abandoned;
+    const auto it = live_.find(request);
+    if (!own_doing || request == 0 || it == live_.end() || it->second.answered) return;
+    guard_.closed_unanswered();
+    LogLine(LogLevel::error, "closed_unanswered")
+        .with("request", request)
+        .with("trace", it->second.trace)
+        .with("cause", name_of(cause));
+}
+
 // ---- hosts ----
 
 void Runtime::on_attempt(const HostPool::AttemptKey& key, const std::string& uid, HostResult&& result) {
@@ -401,6 +505,15 @@
     if (it == live_.end()) return;
     Live& live = it->second;
     --live.out;
+    metrics_.attempt_ended(result.outcome);
+    guard_.attempt_ended(key.request, key.attempt, outcome_of(result.outcome));
+    LogLine(LogLevel::debug, "attempt_ended")
+        .with("request", key.request)
+        .with("trace", live.trace)
+        .with("attempt", key.attempt)
+        .with("host", uid)
+        .with("outcome", name_of(result.outcome))
+        .with("took", result.took);
     const bool serves = result.outcome == HostOutcome::served && !live.answered;
     if (live.passing_on == key.attempt) {
         live.passing_on = -1;
@@ -423,6 +536,9 @@
     const auto it = live_.find(key.request);
     if (it == live_.end() || it->second.answered) return false;
     it->second.passing_on = key.attempt;
+    LogLine(LogLevel::debug, "answer_begun").with("request", key.request).with("trace", it->second.trace);
+    metrics_.answered(result.answer.result_int());
+    guard_.answered(key.request, clock_.now());
     feed_before(sr::AnswerBegun{key.request, uid}, [&] { close(it); });
     clients_->begin_answer(key.request, std::move(result.answer));
     return true;
@@ -454,6 +570,8 @@
     if (list.whole) known_names_.only(named, Steady::now());
     known_names_.forget_old(Steady::now(), pool_->banned());
     hosts_ready_ = !ready_hosts_.empty();
+    guard_.hosts_changed(event);
+    log_list(list);
     // The module hears of the change before what the change itself ends, and the pool knows the hosts by
     // then.
     feed_before(std::move(event), [&] { pool_->update(list); });
@@ -487,7 +605,10 @@
 }
 // The module hears of it first, as of a change of the list.
 void Runtime::ban(const std::string& uid, bool banned) {
-    feed_before(sr::HostBanned{uid, banned}, [&] { pool_->ban(uid, banned); });
+    const sr::HostBanned event{uid, banned};
+    LogLine(LogLevel::info, banned ? "host_taken_out" : "host_put_back").with("host", uid);
+    guard_.host_banned(event);
+    feed_before(event, [&] { pool_->ban(uid, banned); });
 }
 
 // ---- time ----
@@ -514,8 +635,9 @@
         // The module answers before this; a request that it has lost all the same must not hang.
         const auto it = live_.find(due.token);
         if (it == live_.end() || it->second.answered) continue;
-        std::fprintf(stderr, "request %llu: no decision by its deadline\n",
-                     static_cast<unsigned long long>(due.token));
+        LogLine(LogLevel::error, "no_decision_by_deadline")
+            .with("request", due.token)
+            .with("trace", it->second.trace);
         give_up(it);
     }
     arm();
@@ -528,12 +650,18 @@
 
 // ---- the end ----
 
-void Runtime::reload(const Config& config) { discovery_->move_to(config.discovery); }
+void Runtime::reload(const Config& config) {
+    LogLine(LogLevel::info, "configuration_reloaded")
+        .with("discovery",
+              config.discovery.address().to_string() + ':' + std::to_string(config.discovery.port()));
+    discovery_->move_to(config.discovery);
+}
 
 void Runtime::drain(std::function<void()> done) {
     if (drained_) return;
     drained_ = std::move(done);
     if (!clients_) return drained_();
+    LogLine(LogLevel::info, "draining").with("requests", static_cast<std::int64_t>(live_.size()));
     clients_->drain();
     Micros longest{0};
     for (const sr::RequestClass& c : settings_.classes) longest = std::max(longest, c.deadline);
@@ -556,6 +684,9 @@
     }
     if (over || (clients_->quiet() && !clients_->take_rest())) {
         discovery_->stop();
+        LogLine(LogLevel::info, "drained")
+            .with("cause", over ? "time_over" : "quiet")
+            .with("rule_violations", guard_.violations().total());
         return drained_();
     }
     drain_timer_.expires_after(look_again);
--- a/src/node/runtime.h
+++ b/src/node/runtime.h
@@ -20,10 +20,12 @@
 #include "discovery.h"
 #include "host_pool.h"
 #include "known_names.h"
+#include "metrics.h"
 #include "mgmt_door.h"
 #include "peer_link.h"
 #include "request_check.h"
 #include "silverreach/interface.h"
+#include "silverreach/rule_guard.h"
 #include "socket_budget.h"
 #include "upgrade.h"
 
@@ -44,6 +46,7 @@
     const ClientServer& clients() const { return *clients_; }
     const PeerLink* peers() const { return peers_.get(); }
     const MgmtDoor* door() const { return door_.get(); }
+    std::string metrics() const { return metrics_.text(guard_.violations()); }
 
   private:
     // A request the module knows of, or one that is answered and has attempts out.
@@ -97,6 +100,10 @@
     void finish(LiveAt live, Answer&& answer);
     void close(LiveAt live);
     void drop_if_over(std::uint64_t id);
+    void end_unsent(const silverreach::SendAttempt& action, int attempt, bool answered);
+    void on_client_closed(ClientClose cause, std::uint64_t request);
+    HostPool::Callbacks pool_callbacks();
+    ClientServer::Callbacks client_callbacks();
     void give_up(LiveAt live);
     void wait(Wait wait);
     void arm();
@@ -110,6 +117,8 @@
     Clock clock_;
     silverreach::Settings settings_;
     silverreach::Gateway gateway_;
+    silverreach::RuleGuard guard_;
+    Metrics metrics_;
     RequestCheck check_;
     std::deque<silverreach::Event> events_;
     std::vector<silverreach::Action> actions_;
--- a/src/node/upgrade.cpp
+++ b/src/node/upgrade.cpp
@@ -1,8 +1,9 @@
 #include "upgrade.h"
 
-#include <cstdio>
 #include <cstdlib>
 
+#include "log.h"
+
 namespace spartrack {
 using boost::system::error_code;
 using Kind = HandoverMessage::Kind;
@@ -56,7 +57,7 @@
 }
 void Upgrade::alone(const char* why) {
     if (std::exchange(served_, true)) return;
-    std::fprintf(stderr, "upgrade: the former process is passed over: %s\n", why);
+    LogLine(LogLevel::warning, "upgrade_former_passed_over").with("cause", why);
     patience_.cancel();
     if (former_) former_->close();
     former_.reset();
@@ -137,7 +138,7 @@
 void Upgrade::end_next() {
     next_.reset();
     if (!std::exchange(left_, false)) return;
-    std::fprintf(stderr, "upgrade: the next process has ended; this one goes on\n");
+    LogLine(LogLevel::warning, "upgrade_taken_back").with("cause", "the next process has ended");
     callbacks_.take_back();
     wait_for_next();
 }
--- a/src/records.h
+++ b/src/records.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "silverreach/interface.h"
+#include "silverreach/request_rules.h"
 
 namespace silverreach {
 
@@ -87,12 +88,13 @@
     RequestArrived arrival;
     Customer* customer = nullptr;
     Micros deadline{0}, latest_start{0};
-    bool in_quota = true, admitted = false, sent = false, waiting = false, probing = false, maybe_ran = false;
-    int kind = 0, attempts = 0, out = 0, rounds = 0, probes_out = 0;  // kind: class and plan
+    bool in_quota = true, admitted = false, sent = false, waiting = false, probing = false;
+    int kind = 0, rounds = 0, probes_out = 0;  // kind: class and plan
+    RequestHistory history;
+    AttemptCause next_attempt = AttemptCause::first;
     std::vector<Host*> pair;
-    Micros last_sent{0}, first_maybe{0};
-    std::string last_host, group_zone;
-    std::int64_t group_cell = 0;
+    Micros last_sent{0};
+    std::string last_host;
 };
 
 }  // namespace silverreach
--- a/tests/host_list_test.cpp
+++ b/tests/host_list_test.cpp
@@ -118,6 +118,7 @@
         const Micros took = Micros(5000 + random_() % 90000);
         AttemptEnded ended;
         ended.id = attempt.id;
+        ended.attempt = attempts_[attempt.id]++;
         ended.host = attempt.host;
         ended.took = took;
         ended.outcome = random_() % 20 == 0 ? Outcome::error : Outcome::good;
@@ -131,6 +132,7 @@
     std::vector<HostEntry> up_;
     std::multimap<Micros, Event> due_;
     Digest digest_;
+    std::map<RequestId, int> attempts_;  // begun, by request
     RequestId next_ = 1;
     std::uint64_t sent_ = 0;
 };
--- a/tests/node/gateway_test.cpp
+++ b/tests/node/gateway_test.cpp
@@ -162,6 +162,26 @@
     EXPECT_EQ(agent.targets[2].substr(0, 24), "/catalog/members?from=2&");
 }
 
+TEST_F(GatewayTest, MetricsTellWhyRequestsWereRefusedAndConnectionsClosed) {
+    plan = R"({"name":"basic","rate":0.001,"mostAtOnce":2,"excessCost":1,"worthFactor":1})";
+    ASSERT_TRUE(up());
+    Client client(io, address());
+    for (std::size_t call = 1; call <= 6; ++call) {
+        client.say(request(std::string("a").append(std::to_string(call))));
+        ASSERT_TRUE(answered(client, call));
+    }
+    client.close();
+    const auto tells = [&](const std::string& line) {
+        return gateway().metrics().find(line) != std::string::npos;
+    };
+    EXPECT_TRUE(run_until(
+        io, [&] { return tells("spartrack_client_connections_closed_total{cause=\"client_left\"} 1\n"); }));
+    EXPECT_TRUE(tells("spartrack_requests_total 6\n"));
+    EXPECT_TRUE(tells("spartrack_refusals_total{cause=\"over_quota\"} 5\n")) << gateway().metrics();
+    EXPECT_TRUE(tells("spartrack_attempts_ended_total{outcome=\"served\"} 1\n")) << gateway().metrics();
+    EXPECT_TRUE(tells("spartrack_rule_violations_total 0\n"));
+}
+
 TEST_F(GatewayTest, HealthTellsWhetherRequestsCanBeServed) {
     listed = whole(1, "");
     gateway();
