Wait out local failures of connects, tell hosts the time that is left, and accept to the end

Failures of the own machine (no port, route, buffer, descriptor) are tried again each 10 ms while a connect may take; after that, and without a place, the attempt ends as not_begun, which says nothing of the host.

--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -701,7 +701,8 @@
     bool any = false;
     if (pass_) return any;  // they are another process's
     for (error_code ec; take_one(ec) && !ec;) any = true;
-    return any;
+    // An accept may fail for a moment, or find no place: whoever waits behind it is not passed over.
+    return any || connection_waits();
 }
 Descriptor ClientServer::share_listener() const {
     return Descriptor(::fcntl(const_cast<tcp::acceptor&>(acceptor_).native_handle(), F_DUPFD_CLOEXEC, 0));
--- a/src/node/client_server.h
+++ b/src/node/client_server.h
@@ -94,7 +94,7 @@
     // Connections that a request keeps from being handed over.
     std::size_t held_up() const;
     // Takes in what the machine has accepted already: requests in there count as taken. False if that was
-    // nothing.
+    // nothing, and nothing waits there still.
     bool take_rest();
     // No connection has a request in hand, half read or unread, or an answer half written.
     bool quiet() const;
--- a/src/node/host_pool.cpp
+++ b/src/node/host_pool.cpp
@@ -1,7 +1,9 @@
 #include "host_pool.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <cerrno>
 #include <optional>
 
 #include "clock.h"
@@ -17,6 +19,7 @@
 
 namespace {
 constexpr std::size_t read_at_once = 4096, read_of_long = 32 * 1024;
+constexpr std::chrono::milliseconds connect_pause = 10ms;  // after a connect that failed by the own machine
 // Neither side of a long exchange may stand still for longer than this.
 constexpr std::chrono::milliseconds stall_most = 10s;
 // Words on the way to an answer (1xx) that are heard out; a host that sends more never comes to it.
@@ -43,6 +46,8 @@
             return "cancelled";
         case HostOutcome::withdrawn:
             return "withdrawn";
+        case HostOutcome::not_begun:
+            return "not_begun";
     }
     return "unknown";
 }
@@ -69,6 +74,20 @@
     return "unknown";
 }
 
+namespace {
+// Whether a connect failed by the own machine, for a moment: that says nothing of the host.
+bool is_local_failure(error_code ec) {
+    constexpr std::array errors{EADDRNOTAVAIL, EAGAIN, EMFILE,   ENFILE,
+                                ENOBUFS,       ENOMEM, ENETDOWN, ENETUNREACH};
+    return ec.category() == boost::system::system_category() &&
+           std::find(errors.begin(), errors.end(), ec.value()) != errors.end();
+}
+
+// The field that tells a host how long the gateway will wait; its value is put in place as the request is
+// written.
+constexpr std::string_view time_left_field = "X-Expires-In-Ms";
+}  // namespace
+
 struct HostPool::Host {
     std::string uid;
     tcp::endpoint endpoint;
@@ -89,6 +108,7 @@
           place_(std::move(place)),
           socket_(pool.io_),
           timer_(pool.io_),
+          connect_again_(pool.io_),
           unread_(most_body + most_header) {}
 
     const std::shared_ptr<Host>& host() const { return host_; }
@@ -119,19 +139,8 @@
             return write();
         }
         state_ = State::connecting;
-        error_code ec;
-        socket_.open(endpoint_.protocol(), ec);
-        if (ec) return end(HostOutcome::connect_failed);
-        socket_.set_option(tcp::no_delay(true), ec);
-        socket_.non_blocking(true, ec);
         wait_until(std::min(deadline_, since_ + pool_.connect_timeout_));
-        socket_.async_connect(endpoint_, [self = shared_from_this()](error_code failed) {
-            if (self->state_ != State::connecting) return;
-            if (failed) return self->end(HostOutcome::connect_failed);
-            self->wait_until(self->deadline_);
-            self->read();
-            self->write();
-        });
+        connect();
     }
     void cancel() { end(HostOutcome::cancelled); }
     // The last piece has gone: more of the long answer can be taken.
@@ -179,6 +188,7 @@
         state_ = State::closed;
         pool_.note_closed(cause, host_->uid);
         timer_.cancel();
+        connect_again_.cancel();
         error_code ec;
         socket_.close(ec);
         place_.give_back();
@@ -188,6 +198,36 @@
     using Parser = http::response_parser<PieceBody>;
     enum class State { fresh, connecting, writing, waiting, idle, closed };
 
+    void connect() {
+        locally_failed_ = false;
+        error_code ec;
+        socket_.open(endpoint_.protocol(), ec);
+        if (ec) return on_connect_failed(ec);
+        socket_.set_option(tcp::no_delay(true), ec);
+        socket_.non_blocking(true, ec);
+        socket_.async_connect(endpoint_, [self = shared_from_this()](error_code failed) {
+            if (self->state_ != State::connecting) return;
+            if (failed) return self->on_connect_failed(failed);
+            self->wait_until(self->deadline_);
+            self->read();
+            self->write();
+        });
+    }
+    // A failure of the own machine is waited out, as long as a connect may take.
+    void on_connect_failed(error_code why) {
+        if (!is_local_failure(why)) return end(HostOutcome::connect_failed);
+        LogLine(LogLevel::debug, "connect_failed_locally")
+            .with("host", host_->uid)
+            .with("error", why.message());
+        locally_failed_ = true;
+        error_code ec;
+        socket_.close(ec);
+        connect_again_.expires_after(connect_pause);
+        connect_again_.async_wait([self = shared_from_this()](error_code stopped) {
+            if (!stopped && self->state_ == State::connecting) self->connect();
+        });
+    }
+
     void wait_until(Steady::time_point when) {
         timer_.expires_at(when);
         if (when == Steady::time_point::max()) return;
@@ -197,12 +237,14 @@
         });
     }
     void time_out() {
-        if (state_ == State::connecting) end(HostOutcome::connect_failed);
+        if (state_ == State::connecting)
+            end(locally_failed_ ? HostOutcome::not_begun : HostOutcome::connect_failed);
         else if (state_ == State::writing || state_ == State::waiting) end(HostOutcome::timeout);
     }
 
     void write(std::size_t sent = 0) {
         state_ = State::writing;
+        if (sent == 0) tell_time_left();
         error_code ec;
         sent += write_available(socket_, std::string_view(out_).substr(sent), ec);
         if (ec) return end(HostOutcome::connect_failed);
@@ -219,6 +261,16 @@
         });
     }
 
+    // The time that is left now: the connection may have come up long after the attempt began.
+    void tell_time_left() {
+        const std::string field = std::string("\r\n").append(time_left_field).append(": ");
+        const std::size_t name_at = std::string_view(out_).substr(0, out_.find("\r\n\r\n")).find(field);
+        if (is_probe_ || name_at == std::string::npos) return;
+        const std::size_t at = name_at + field.size();
+        const auto left = std::chrono::ceil<std::chrono::milliseconds>(deadline_ - Steady::now()).count();
+        out_.replace(at, out_.find("\r\n", at) - at, std::to_string(std::max<std::int64_t>(1, left)));
+    }
+
     void expect_answer() {
         parser_.emplace();
         parser_->eager(false);  // the header is looked at before room for a body is set aside
@@ -382,12 +434,13 @@
     tcp::endpoint endpoint_;
     SocketBudget::Place place_;
     tcp::socket socket_;
-    asio::steady_timer timer_;
+    asio::steady_timer timer_, connect_again_;
     boost::beast::flat_buffer unread_;
     std::optional<Parser> parser_;
     std::string out_;
     AttemptKey key_;
     bool is_probe_ = false, head_ = false;
+    bool locally_failed_ = false;        // the latest connect
     bool begun_ = false, full_ = false;  // a long answer goes on; a piece of it waits to be taken
     std::chrono::microseconds took_{0};  // until it began
     int words_ahead_ = 0;
@@ -481,9 +534,11 @@
 // The rested connection used last, else a new one; nothing where the host takes nothing new or no socket is
 // left. Guards against a second answer that comes some milliseconds behind the first: written to at once, the
 // connection would bring it as the next request's. Harms by a connection or two more at a busy host.
-std::shared_ptr<HostPool::Connection> HostPool::connection_to(const std::string& uid) {
+std::shared_ptr<HostPool::Connection> HostPool::connection_to(const std::string& uid, HostOutcome& why_none) {
+    why_none = HostOutcome::connect_failed;
     const auto found = hosts_.find(uid);
     if (found == hosts_.end() || !found->second->takes_new()) return nullptr;
+    why_none = HostOutcome::not_begun;
     auto& idle = found->second->idle;
     std::shared_ptr<Connection> connection;
     const auto before = Steady::now() - rest_;
@@ -505,26 +560,19 @@
 
 void HostPool::attempt(const AttemptKey& key, const std::string& uid, Request& message,
                        std::chrono::microseconds within) {
-    const auto connection = connection_to(uid);
-    if (!connection) {
-        HostResult unsent;
-        unsent.outcome = HostOutcome::connect_failed;
-        return callbacks_.on_attempt(key, uid, std::move(unsent));
-    }
-    message.set("X-Expires-In-Ms", std::to_string(std::max<std::int64_t>(
-                                       1, std::chrono::floor<std::chrono::milliseconds>(within).count())));
+    HostResult unsent;
+    const auto connection = connection_to(uid, unsent.outcome);
+    if (!connection) return callbacks_.on_attempt(key, uid, std::move(unsent));
+    message.set(boost::beast::string_view(time_left_field.data(), time_left_field.size()), "0");
     connection->expect_no_body(message.method() == http::verb::head);
     serialize(message, connection->out());
     connection->begin(&key, within);
 }
 
 void HostPool::probe(const std::string& uid) {
-    const auto connection = connection_to(uid);
-    if (!connection) {
-        HostResult unsent;
-        unsent.outcome = HostOutcome::connect_failed;
-        return callbacks_.on_probe(uid, std::move(unsent));
-    }
+    HostResult unsent;
+    const auto connection = connection_to(uid, unsent.outcome);
+    if (!connection) return callbacks_.on_probe(uid, std::move(unsent));
     connection->expect_no_body(false);
     connection->out() = "GET /_load HTTP/1.1\r\nHost: " + uid + "\r\n\r\n";
     connection->begin(nullptr, connect_timeout_);
--- a/src/node/host_pool.h
+++ b/src/node/host_pool.h
@@ -29,6 +29,8 @@
     timeout,
     cancelled,
     withdrawn,  // before its last byte was written: never ran
+    not_begun,  // the own machine had no place, port, route or descriptor for it: never ran, and no host's
+                // fault
 };
 
 const char* name_of(HostOutcome outcome);
@@ -109,7 +111,7 @@
     template <class Which>
     void end_unwritten(HostOutcome outcome, Which which);
     std::shared_ptr<Connection> carrier_of(const AttemptKey& key) const;
-    std::shared_ptr<Connection> connection_to(const std::string& uid);
+    std::shared_ptr<Connection> connection_to(const std::string& uid, HostOutcome& why_none);
     bool close_one_idle();
     void sweep();
 
--- a/src/node/runtime.cpp
+++ b/src/node/runtime.cpp
@@ -63,6 +63,7 @@
         case HostOutcome::cancelled:
             return sr::Outcome::cancelled;
         case HostOutcome::withdrawn:
+        case HostOutcome::not_begun:
             return sr::Outcome::moot;
     }
     return sr::Outcome::error;
--- a/tools/fault_soak/host_list.cpp
+++ b/tools/fault_soak/host_list.cpp
@@ -2,6 +2,8 @@
 
 #include <set>
 
+#include "text.h"
+
 namespace fault_soak {
 namespace {
 constexpr int zones = 2;
@@ -14,7 +16,7 @@
 HostList::HostList(int hosts) {
     for (int host = 0; host < hosts; ++host) {
         ListedHost listed;
-        listed.uid = "h" + std::to_string(host);
+        listed.uid = concat("h", host);
         listed.zone = host % zones == 0 ? "a" : "b";
         hosts_.push_back(listed);
     }
@@ -37,14 +39,15 @@
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
         const ListedHost& host = hosts_[i];
         if (whole ? host.state == HostState::gone : !told.contains(i)) continue;
-        rows.append(rows.empty() ? "" : ",").append(R"({"uid":")").append(host.uid);
+        if (!rows.empty()) rows.append(1, ',');
+        rows.append(R"({"uid":")").append(host.uid);
         rows.append(R"(","endpoint":")").append(addresses[i]).append(R"(","az":")").append(host.zone);
         rows.append(R"(","model":"m","pod_group":)").append(std::to_string(i / 2));
         rows.append(R"(,"state":")").append(name_of(host.state));
         rows.append(R"(","capacity_hint":1,"boot_ms":)").append(std::to_string(host.boot_ms)).append("}");
     }
-    return R"({"rev":)" + std::to_string(version_) + R"(,"all":)" + (whole ? "true" : "false") +
-           R"(,"targets":[)" + rows + "]}";
+    return concat(R"({"rev":)", version_, R"(,"all":)", whole ? "true" : "false", R"(,"targets":[)", rows,
+                  "]}");
 }
 
 }  // namespace fault_soak
