Add failing tests for stepped wall clocks in slow start and for starts short of descriptors

A host's start comes as a wall clock stamp. Where that clock is stepped back an hour, a host that was just seen to restart counts as warm; stepped forward, it stays cold for an hour more.

--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -1087,6 +1087,55 @@
     EXPECT_EQ(of<Refuse>(b.actions).size() + of<Fail>(b.actions).size(), 4u);
 }
 
+// Sends requests, 10 ms apart, and counts those that go to host a.
+struct SharedWithA {
+    Bench b;
+    RequestId id = 1;
+    explicit SharedWithA(Settings s)
+        : b((s.plans[0].rate = s.plans[0].burst = 1e6, s), {host("a"), host("b")}) {
+        b.now += 3h;
+        b.feed(HostsChanged{true, {host("a"), host("b")}});
+    }
+    int sent(int requests) {
+        int to_a = 0;
+        for (const RequestId last = id + static_cast<RequestId>(requests); id < last; ++id) {
+            b.pass(10ms);
+            for (const SendAttempt& a : of<SendAttempt>(b.ask(id))) {
+                to_a += a.host == "a";
+                b.end(id, a.host, Outcome::good, 5ms);
+            }
+        }
+        return to_a;
+    }
+    void restart_a(Micros told_start) {
+        HostEntry restarted = host("a");
+        restarted.started = told_start;
+        b.feed(HostsChanged{false, {restarted}});
+    }
+};
+
+// The wall clock may be stepped: a host that was seen to restart is cold from then on, whatever its stamp
+// says.
+TEST(SlowStart, ARestartStampedLongAgoIsColdAllTheSame) {
+    SharedWithA shared(one_gateway());
+    const int warm = shared.sent(400);
+    shared.restart_a(shared.b.now - 1h);
+    const int cold = shared.sent(400);
+    EXPECT_GT(cold, 0);
+    EXPECT_LT(cold, warm * 3 / 4);
+    shared.b.pass(11s);
+    EXPECT_GT(shared.sent(400), warm * 3 / 4);
+}
+TEST(SlowStart, ARestartStampedInTheFutureIsNotColdForLonger) {
+    SharedWithA shared(one_gateway());
+    const int warm = shared.sent(400);
+    shared.restart_a(shared.b.now + 1h);
+    EXPECT_LT(shared.sent(400), warm * 3 / 4);
+    shared.restart_a(shared.b.now + 1h - 4s);  // the same stamp, told again
+    shared.b.pass(11s);
+    EXPECT_GT(shared.sent(400), warm * 3 / 4);
+}
+
 TEST(Ban, HoldsWhateverTheListSaysAndTheHostComesBackCold) {
     Settings s = one_gateway();
     s.plans[0].rate = s.plans[0].burst = 1e6;
--- a/tests/node/system_call_test.cpp
+++ b/tests/node/system_call_test.cpp
@@ -85,6 +85,25 @@
     }
 }
 
+// Found by the soak: a restart in a moment without descriptors or buffers ended the process.
+TEST(FailingSockets, AGatewayStartsThroughAMomentWithoutDescriptors) {
+    asio::io_context io;
+    SocketBudget budget(64);
+    Server agent(io, [](auto& p) { p.ok(R"({"rev":1,"all":true,"targets":[]})"); });
+    const Config config = parse_config(
+        R"({"name":"n0","listen":"127.0.0.1:0","discovery":")" + agent.address() +
+            R"(","settings":{"rank":0,"instances":1,"tickUs":4000,"requestClasses":[{"name":"read",)"
+            R"("effect":"retryable","deadlineUs":100000}],"ceilings":{"maxAttempts":4},)"
+            R"("guarantees":{"startCapacity":0.2,"coldUs":1000000,"fallUs":1000000}}})",
+        [](const char*) { return nullptr; });
+    const FailingCalls failing(SocketCall::socket, {ENFILE, ENOBUFS, EMFILE, ENOMEM});
+    std::optional<Runtime> gateway;
+    ASSERT_NO_THROW(gateway.emplace(io, budget, config));
+    Client client(io, gateway->clients().local_endpoint());
+    client.say("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n");
+    EXPECT_TRUE(run_until(io, [&] { return client.answers().size() == 1; }));
+}
+
 // An accept that fails for a moment leaves the connection in the backlog: a gateway that ends then loses what
 // it asks.
 TEST(FailingAccepts, AConnectionInTheBacklogIsNotPassedOverAtTheEnd) {
