Believe what was seen over a host's stamp in slow start, and start through short shortages

Slow start: a host's start is a wall clock stamp, and that clock may be stepped. A start in the future now counts as now; a host that was known with another start and is told to have restarted over 30 s before the last list counts as started now, also when it was gone in between (starts of hosts that left are kept ten minutes). A start told that late costs a cold time at most.

Starts: making a listener is tried again for 5 s through a shortage of descriptors, buffers or memory, and a configuration that can't be read for 1 s.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -62,6 +62,8 @@
 constexpr Micros warm_rate_valid = 50ms;
 constexpr double own_view = 2;  // attempts out by which the own view of a host's load outweighs the mean
 constexpr std::size_t sampled = 12, kept = 32;  // hosts looked at for a request, out of those used at all
+constexpr Micros told_late_most = 30s;          // a host's start is told no later than this
+constexpr Micros left_hosts_kept = 10min;       // starts of hosts that have left are remembered
 constexpr double known_answers = 10;            // answers of a host in the memory that spare a probe
 constexpr Micros report_valid = 250ms;  // a host's own word is believed, or a failed probe leaves it alone
 constexpr Micros probe_due = 40ms, wait_again = 100ms;   // the better of two is waited for, a host looked for
@@ -916,12 +918,13 @@
         for (const HostEntry& entry : e.entries) {
             auto [it, fresh] = hosts_.try_emplace(entry.host);
             Host& h = it->second;
+            const Micros started = believable_start(h, entry, fresh);
             if (fresh || entry.started != h.told_start) start_anew(h, entry.host);
             // A host put back may have been restarted unheard of: until the list names a later start, that
             // counts.
             const auto back = put_back_.find(entry.host);
             h.entry = entry, h.told_start = entry.started;
-            if (back != put_back_.end()) h.entry.started = std::max(entry.started, back->second);
+            h.entry.started = back == put_back_.end() ? started : std::max(started, back->second);
             if (fresh) order_.insert(h);
             if (h.entry.state == HostState::gone) gone_.insert(entry.host);
             else gone_.erase(entry.host);
@@ -929,9 +932,22 @@
         }
         if (e.whole_list)
             for (const std::string& name : gone_) note_warmth(hosts_.at(name));
+        lists_heard_at_ = now_;
         drop_gone();
         pump();
     }
+    // A start is told by a wall clock, which may be stepped. Guards against a host that was seen to restart
+    // and passes for warm, and one that seems to start in the future; harms by a cold time for a start told
+    // very late.
+    Micros believable_start(const Host& h, const HostEntry& entry, bool fresh) const {
+        const auto left = left_hosts_.find(entry.host);
+        const bool known = !fresh || left != left_hosts_.end();
+        const Micros former = fresh && known ? left->second.told_start : h.told_start;
+        if (!fresh && entry.started == former) return h.entry.started;
+        const Micros told = std::min(entry.started, now_);
+        const bool restarted = known && entry.started > 0us && entry.started != former;
+        return restarted && told < lists_heard_at_ - told_late_most ? now_ : told;
+    }
     void start_anew(Host& h, const std::string& name) {
         warm_.remove(h, now_);
         h.out = std::exchange(h, Host{}).out;
@@ -971,6 +987,7 @@
             if (!ended(&it->second)) return false;
             warm_.remove(it->second, now_);
             order_.erase(it->second);
+            left_hosts_[name] = {it->second.told_start, now_};
             hosts_.erase(it);
             return true;
         });
@@ -1205,6 +1222,7 @@
         if (now_ - swept_at_ < sweep_period) return;
         swept_at_ = now_;
         drop_gone();  // and ages out who is idle; a customer that still has requests in hand stays
+        std::erase_if(left_hosts_, [this](const auto& l) { return now_ - l.second.left >= left_hosts_kept; });
         std::erase_if(peers_, [this](const auto& p) { return now_ - p.second.tokens_at >= idle_after_; });
         std::erase_if(ledgers_, [this](const auto& l) { return now_ - l.second.touched >= idle_after_; });
         for (auto it = leases_due_.begin(); it != leases_due_.end();) {
@@ -1235,6 +1253,11 @@
     std::map<std::string, Micros> put_back_;  // and put back within the last cold time
     std::deque<RequestId> waiting_;
     std::set<std::string> gone_;  // hosts that are gone, but for attempts out
+    struct LeftHost {
+        Micros told_start, left;
+    };
+    std::map<std::string, LeftHost> left_hosts_;  // lately
+    Micros lists_heard_at_{0};
     HostOrder<Host> order_{kept};
     WarmHosts<Host> warm_{warm_memory_s};
     Fading taken_in_;                   // messages
--- a/src/node/config.cpp
+++ b/src/node/config.cpp
@@ -3,6 +3,7 @@
 #include <charconv>
 #include <fstream>
 #include <sstream>
+#include <thread>
 
 #include "json/settings.h"
 
@@ -12,6 +13,9 @@
 using boost::asio::ip::tcp;
 using boost::asio::ip::udp;
 
+using Steady = std::chrono::steady_clock;
+using namespace std::chrono_literals;
+constexpr std::chrono::milliseconds unreadable_most = 1s, unreadable_pause = 20ms;
 constexpr std::size_t least_sockets = 64, least_memory_mb = 16;
 
 std::uint64_t read_seed(json::element e) {
@@ -97,8 +101,19 @@
     std::ifstream file(path, std::ios::binary);
     std::stringstream text;
     if (!file || !(text << file.rdbuf()))
-        throw ConfigError(std::string("BALANCER_CONFIG: expected a readable file, got ") + path);
+        throw ConfigUnreadable(std::string("BALANCER_CONFIG: expected a readable file, got ") + path);
     return parse_config(text.str(), environment);
 }
 
+Config load_config_at_start(const Environment& environment) {
+    for (const auto give_up = Steady::now() + unreadable_most;;
+         std::this_thread::sleep_for(unreadable_pause)) {
+        try {
+            return load_config(environment);
+        } catch (const ConfigUnreadable&) {
+            if (Steady::now() >= give_up) throw;
+        }
+    }
+}
+
 }  // namespace spartrack
--- a/src/node/config.h
+++ b/src/node/config.h
@@ -44,8 +44,17 @@
 
 using Environment = std::function<const char*(const char*)>;
 
-// Reads the file that BALANCER_CONFIG names; a value that it leaves out is taken from the environment.
+// The file can't be read, which may pass; what it says is not known.
+struct ConfigUnreadable : ConfigError {
+    using ConfigError::ConfigError;
+};
+
+// Reads the file that BALANCER_CONFIG names; a value that it leaves out is taken from the environment. Throws
+// ConfigError.
 Config load_config(const Environment& environment);
+// The same, but a file that can't be read is tried again for a second: at the start there is no former
+// configuration to go on with.
+Config load_config_at_start(const Environment& environment);
 // The same of a text, for tests.
 Config parse_config(const std::string& text, const Environment& environment);
 
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -29,7 +29,7 @@
     const auto environment = [](const char* name) -> const char* { return std::getenv(name); };
     spartrack::set_log_level(environment("SPARTRACK_LOG"));
     try {
-        const spartrack::Config config = spartrack::load_config(environment);
+        const spartrack::Config config = spartrack::load_config_at_start(environment);
         const std::size_t sockets = socket_limit(config.sockets);
         spartrack::SocketBudget budget(sockets > 2 * set_aside ? sockets - set_aside : set_aside);
         boost::asio::io_context io(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE);  // one thread: no locks
--- a/src/node/runtime.cpp
+++ b/src/node/runtime.cpp
@@ -8,6 +8,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <string_view>
+#include <thread>
 
 #include "log.h"
 
@@ -32,6 +33,8 @@
 // host.
 constexpr std::size_t bodies_part = 8;
 
+// A start waits so long for descriptors and buffers: it is to be ready within 10 s.
+constexpr std::chrono::milliseconds shortage_most = 5s, shortage_pause = 20ms;
 constexpr std::size_t state_piece = 32 * 1024;
 // What the former process of an upgrade may open still, for further attempts.
 constexpr std::size_t sockets_for_the_rest = 16;
@@ -91,14 +94,24 @@
             .with("boot_ms", target.boot_ms);
 }
 
-// Runs `make`; a failure to bind names the key whose address it was.
+// Whether a socket could not be made for want of something that may be there again in a moment.
+bool is_passing_shortage(const error_code& ec) {
+    return ec == boost::asio::error::no_descriptors || ec == boost::asio::error::no_buffer_space ||
+           ec == boost::asio::error::no_memory || ec == error_code(ENFILE, boost::system::system_category());
+}
+// Runs `make`, again and again through a passing shortage; a failure to bind names the key whose address it
+// was. It holds the loop meanwhile: nothing is served before the listeners are there.
 template <class Make>
 auto bound(const char* key, Make make) {
-    try {
-        return make();
-    } catch (const boost::system::system_error& error) {
-        throw ConfigError(std::string("config: ") + key + ": expected an address that can be bound, got '" +
-                          error.code().message() + "'");
+    for (const auto give_up = Steady::now() + shortage_most;; std::this_thread::sleep_for(shortage_pause)) {
+        try {
+            return make();
+        } catch (const boost::system::system_error& error) {
+            if (is_passing_shortage(error.code()) && Steady::now() < give_up) continue;
+            throw ConfigError(std::string("config: ") + key +
+                              ": expected an address that can be bound, got '" + error.code().message() +
+                              "'");
+        }
     }
 }
 }  // namespace
