Add failing tests for an upgrade over a stepped clock and a reload over a half written file

With a step back of an hour the next process lets through none of 40 requests in 4 s at 2 a second, as its stores count from an hour ahead. And a configuration that is half written at SIGHUP is passed over for good, while the former discovery ends its connections 1.5 s later and changes count as told after 4 s.

--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -1171,6 +1171,33 @@
     EXPECT_GT(sent_to_a(400), 100);
 }
 
+// Each process anchors its clock once to the wall clock; that may have been stepped between their starts.
+TEST(Upgrade, TheNextProcessReadsTimesByItsOwnClock) {
+    for (const Micros step : {Micros(1h), Micros(-1h)}) {
+        Bench former(one_gateway()), next(one_gateway());
+        former.now += 5h, next.now += 5h + step;
+        former.feed(HostsChanged{true, {host("a"), host("b")}});
+        next.feed(HostsChanged{true, {host("a"), host("b")}});
+        RequestId id = 1;
+        for (; id <= 10; ++id) former.ask(id);  // more than the burst: the store is empty
+        next.now += 1s, former.now += 1s;
+        const auto left = of<LeaveState>(former.feed(HandedOver{true}));
+        ASSERT_EQ(left.size(), 1u);
+        next.feed(StateLeft{left[0].bytes});
+        // 2 units a second, whatever the clocks say.
+        int sent = 0;
+        for (int i = 0; i < 40; ++i, ++id) {
+            for (const SendAttempt& a : of<SendAttempt>(next.ask(id))) {
+                ++sent;
+                next.end(id, a.host, Outcome::good, 5ms);
+            }
+            next.pass(100ms);
+        }
+        EXPECT_GE(sent, 5) << step.count();
+        EXPECT_LE(sent, 11) << step.count();
+    }
+}
+
 TEST(Upgrade, TheNextProcessGoesOnWithWhatTheFormerOneLeaves) {
     Bench former(one_gateway()), next(one_gateway());
     // 4 units at once are the burst; half of it lies at the home's ledger at the start.
--- a/tests/node/program_test.cpp
+++ b/tests/node/program_test.cpp
@@ -39,6 +39,26 @@
     EXPECT_EQ(program.exit_status(), 0);
 }
 
+// The former discovery ends its connections soon after the signal, whether the file could be read then or
+// not.
+TEST(Program, AConfigurationHalfWrittenAtTheSignalIsTakenInWhenItIsWhole) {
+    asio::io_context io;
+    const auto answer = [](Server::Peer& p) {
+        if (p.request.target().find("from=") == std::string::npos)
+            p.ok(R"({"rev":9,"all":true,"targets":[]})");
+    };
+    Server first(io, answer), second(io, answer);
+    Program program(config(first.address()));
+    ASSERT_TRUE(run_until(io, [&] { return first.requests.size() >= 2; }));
+    const std::string whole = config(second.address());
+    program.write(whole.substr(0, whole.size() / 2));
+    program.signal(SIGHUP);
+    const auto later = std::chrono::steady_clock::now() + 300ms;
+    ASSERT_TRUE(run_until(io, [&] { return std::chrono::steady_clock::now() >= later; }));
+    program.write(whole);
+    ASSERT_TRUE(run_until(io, [&] { return !second.requests.empty(); }));
+}
+
 TEST(Program, ABadConfigurationEndsTheStart) {
     asio::io_context io;
     Program program(R"({"name":"n0","listen":"nowhere"})");
