--- a/src/control.cpp
+++ b/src/control.cpp
@@ -73,7 +73,7 @@
 
 enum class TimerKind { deadline, release, check, expiry, lease, probe, flush, beat, slots, inherited };
 constexpr std::uint64_t timer_kinds = 10;
-constexpr std::uint32_t state_version = 2;  // of what an upgrade leaves; another version's is passed over
+constexpr std::uint32_t state_version = 3;  // of what an upgrade leaves; another version's is passed over
 constexpr double inherited_answers = 2;     // mean answer times for which inherited attempts count as out
 
 // Guava's SmoothWarmingUp for one customer at this gateway. Starts full, hence slow; the next caller pays.
@@ -1130,7 +1130,7 @@
     }
     std::string state() {
         StateWriter w;
-        w(state_version);
+        w(state_version, now_);
         common_state(w);
         w(hosts_, ledgers_, customers_);
         return w.take();
@@ -1153,6 +1153,9 @@
         StateReader r(bytes);
         std::uint32_t version = 0;
         if (r(version), version != state_version) return;
+        Micros left_at{0};
+        r(left_at);
+        r.move_times(now_ - left_at);
         common_state(r);
         std::map<std::string, Host> left;
         r(left);
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -7,8 +7,8 @@
 #include <cstdio>
 #include <cstdlib>
 #include <exception>
-#include <functional>
 
+#include "config_reloader.h"
 #include "log.h"
 #include "runtime.h"
 
@@ -26,6 +26,7 @@
 
 int main() {
     std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGHUP, SIG_IGN);  // until the configuration has been read anyway
     const auto environment = [](const char* name) -> const char* { return std::getenv(name); };
     spartrack::set_log_level(environment("SPARTRACK_LOG"));
     try {
@@ -35,22 +36,9 @@
         boost::asio::io_context io(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE);  // one thread: no locks
         boost::asio::signal_set signals(io, SIGTERM, SIGINT);
         spartrack::Runtime runtime(io, budget, config);
-        // A new configuration moves the watch to the discovery it names. One that can't be read changes
-        // nothing: whatever replaced the file, the gateway goes on with what it has.
-        boost::asio::signal_set hangups(io, SIGHUP);
-        std::function<void()> await_hangup = [&] {
-            hangups.async_wait([&](const boost::system::error_code& ec, int) {
-                if (ec) return;
-                try {
-                    runtime.reload(spartrack::load_config(environment));
-                } catch (const std::exception& error) {
-                    spartrack::LogLine(spartrack::LogLevel::error, "configuration_kept")
-                        .with("error", error.what());
-                }
-                await_hangup();
-            });
-        };
-        await_hangup();
+        // A new configuration moves the watch to the discovery it names.
+        spartrack::ConfigReloader reloader(io, environment,
+                                           [&](const spartrack::Config& fresh) { runtime.reload(fresh); });
         signals.async_wait([&](const boost::system::error_code& ec, int) {
             if (!ec) runtime.drain([&io] { io.stop(); });
         });
--- a/src/records.h
+++ b/src/records.h
@@ -65,8 +65,9 @@
     std::vector<RequestId> probed_for;      // those that wait for the probe that is out
     Warmth warmth;
     void state(auto& s) {
-        s(told_start, entry.started, out_limit, answer_s, failures, ejections, looked_at, last_answer,
-          blocked_until, answers, sent);
+        s.stamp(told_start);
+        s.stamp(entry.started);
+        s(out_limit, answer_s, failures, ejections, looked_at, last_answer, blocked_until, answers, sent);
     }
 };
 
--- a/src/state_bytes.h
+++ b/src/state_bytes.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 #include <type_traits>
+#include <utility>
 #include <vector>
 
 namespace silverreach {
@@ -29,6 +30,8 @@
     void operator()(Values&... values) {
         (put(values), ...);
     }
+    // A time that is no time of this process's clock.
+    void stamp(std::chrono::microseconds& time) { put(time); }
     std::string take() { return std::move(bytes_); }
 
   private:
@@ -75,6 +78,14 @@
 class StateReader {
   public:
     explicit StateReader(std::string_view bytes) : rest_(bytes) {}
+    // From now on each time but 0, which stands for none, is moved by so much: the writer's clock had another
+    // origin.
+    void move_times(std::chrono::microseconds by) { moved_by_ = by; }
+    void stamp(std::chrono::microseconds& time) {
+        const auto moved_by = std::exchange(moved_by_, std::chrono::microseconds{0});
+        get(time);
+        moved_by_ = moved_by;
+    }
     template <class... Values>
     void operator()(Values&... values) {
         (get(values), ...);
@@ -99,6 +110,7 @@
             value = cut(next<std::uint32_t>());
         } else if constexpr (std::is_same_v<T, std::chrono::microseconds>) {
             value = T(next<std::int64_t>());
+            if (value.count() != 0) value += moved_by_;
         } else if constexpr (KeyedMap<T>) {
             for (auto n = next<std::uint32_t>(); n > 0; --n) get(value[next<typename T::key_type>()]);
         } else if constexpr (KeyedTable<T>) {
@@ -110,6 +122,7 @@
         }
     }
     std::string_view rest_;
+    std::chrono::microseconds moved_by_{0};
 };
 
 }  // namespace silverreach
