Add failing tests for a next process that ends during the handover, and its failing accepts

Found in the code: a next process that says it takes over and ends at once takes along every client connection that is on its way, requests half read among them; and an accept for the next process that fails for want of descriptors is tried again at once, for ever.

--- a/tests/node/system_call_faults.cpp
+++ b/tests/node/system_call_faults.cpp
@@ -86,9 +86,10 @@
 }
 
 namespace spartrack::test {
-FailingCalls::FailingCalls(SocketCall call, std::initializer_list<int> errors) {
+FailingCalls::FailingCalls(SocketCall call, std::initializer_list<int> errors) : call_(call) {
     errors_due[static_cast<std::size_t>(call)] = errors;
 }
+std::size_t FailingCalls::left() const { return errors_due[static_cast<std::size_t>(call_)].size(); }
 FailingCalls::~FailingCalls() {
     for (std::deque<int>& due : errors_due) due.clear();
 }
--- a/tests/node/system_call_faults.h
+++ b/tests/node/system_call_faults.h
@@ -1,6 +1,7 @@
 // Makes system calls on sockets fail or take only a part of what they are given, as Linux may at any time.
 #pragma once
 
+#include <cstddef>
 #include <initializer_list>
 
 namespace spartrack::test {
@@ -22,8 +23,12 @@
   public:
     FailingCalls(SocketCall call, std::initializer_list<int> errors);
     ~FailingCalls();
+    std::size_t left() const;  // that have not been made
     FailingCalls(const FailingCalls&) = delete;
     FailingCalls& operator=(const FailingCalls&) = delete;
+
+  private:
+    const SocketCall call_;
 };
 
 }  // namespace spartrack::test
--- a/tests/node/system_call_test.cpp
+++ b/tests/node/system_call_test.cpp
@@ -1,8 +1,10 @@
 // System calls that fail for a moment or take a part only: all rules hold.
 #include "discovery.h"
+#include "handover.h"
 #include "host_pool.h"
 #include "loopback.h"
 #include "mgmt_door.h"
+#include "program.h"
 #include "runtime.h"
 #include "system_call_faults.h"
 
@@ -122,5 +124,23 @@
     EXPECT_FALSE(server.take_rest());
 }
 
+// With no descriptors left, the connection that waits would wake the loop at once and for ever.
+TEST(FailingAccepts, TheWaitForTheNextProcessDoesNotSpin) {
+    asio::io_context io;
+    const std::filesystem::path folder = Program::make_folder();
+    HandoverPlace place(io, folder.string(), "x");
+    bool came = false;
+    place.wait([&](std::shared_ptr<HandoverChannel>) { came = true; });
+    const FailingCalls failing(SocketCall::accept,
+                               {EMFILE, EMFILE, EMFILE, EMFILE, EMFILE, EMFILE, EMFILE, EMFILE});
+    const auto comer = HandoverPlace(io, folder.string(), "x").find();
+    ASSERT_NE(comer, nullptr);
+    const auto until = std::chrono::steady_clock::now() + 30ms;
+    ASSERT_TRUE(run_until(io, [&] { return std::chrono::steady_clock::now() >= until; }));
+    EXPECT_GT(failing.left(), 4u);
+    ASSERT_TRUE(run_until(io, [&] { return came; }));
+    std::filesystem::remove_all(folder);
+}
+
 }  // namespace
 }  // namespace spartrack::test
--- a/tests/node/upgrade_test.cpp
+++ b/tests/node/upgrade_test.cpp
@@ -115,6 +115,33 @@
     EXPECT_EQ(ask(fresh, request("g")), 200u);
 }
 
+// A process that says it takes over and ends at once: what was on its way to it comes back. The former one is
+// stopped meanwhile, so that it always finds the other's word and end together.
+TEST_F(UpgradeTest, ConnectionsOnTheirWayToAProcessThatEndsComeBack) {
+    Program first(config(first_door), shared);
+    ASSERT_TRUE(serves(first_door));
+    Client kept(io, at(listen)), half(io, at(listen));
+    ASSERT_EQ(ask(kept, request("a")), 200u);
+    const std::string text = request("b");
+    first.signal(SIGSTOP);
+    half.say(text.substr(0, 40));
+    {
+        const std::filesystem::path place = std::filesystem::directory_iterator(shared)->path();
+        using Channel = asio::generic::seq_packet_protocol;
+        Channel::socket next(io, Channel(AF_UNIX, 0));
+        next.connect(asio::local::stream_protocol::endpoint(place.string()));
+        next.send(asio::buffer(std::string("hspartrack 1")), 0);
+        next.send(asio::buffer(std::string("t")), 0);
+    }
+    first.signal(SIGCONT);
+    EXPECT_EQ(ask(kept, request("c")), 200u);
+    half.say(text.substr(40));
+    ASSERT_TRUE(run_until(io, [&] { return half.answers().size() == 1 || half.ended(); }));
+    EXPECT_EQ(half.answers().size(), 1u);
+    Client fresh(io, at(listen));
+    EXPECT_EQ(ask(fresh, request("d")), 200u);
+}
+
 TEST_F(UpgradeTest, WhatAQuotaHasGivenIsNotGivenAgain) {
     Program first(config(first_door), shared);
     ASSERT_TRUE(serves(first_door));
