Take back what a dead next process was not sent, accept again after it, and pause its accepts

Three faults around a handover, the second found by the test of the first: - A next process that ended during the handover took along each client connection that had not been sent to it: the channel dropped its queue. The queue now comes back and its connections are adopted again; the former process does so also while it drains, and ends only when nothing is on its way. - When the handover was taken back before the broken off wait of the listener had been heard of, that wait was not begun again: the gateway never accepted another connection, without a word. - An accept for the next process that failed was tried again at once and for ever; it pauses 20 ms now.

--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -575,7 +575,10 @@
     accepting_ = true;
     acceptor_.async_wait(tcp::acceptor::wait_read, [this](error_code waited) {
         accepting_ = false;
-        if (!waited && !pass_ && acceptor_.is_open()) accept_waiting();
+        if (pass_ || !acceptor_.is_open()) return;
+        // Broken off for a handover that was taken back before this was heard of.
+        if (waited) return accept();
+        accept_waiting();
     });
 }
 
--- a/src/node/handover.cpp
+++ b/src/node/handover.cpp
@@ -21,6 +21,7 @@
 
 namespace {
 constexpr std::size_t most_text = 64 * 1024;  // of a message
+constexpr auto accept_again = 20ms;           // after an accept that failed
 constexpr auto send_again = 5ms;  // while more descriptors are on their way than the kernel allows
 
 // The folder's own path may be longer than the address of a socket can be: the name within it is short.
@@ -101,7 +102,7 @@
 void HandoverChannel::send(HandoverMessage::Kind kind, std::string text, Descriptor&& descriptor) {
     if (closed_) return;
     unsent_.push_back({kind, std::move(text), std::move(descriptor)});
-    if (!waiting_) flush();
+    if (!waiting_ && !broken_) flush();
 }
 void HandoverChannel::flush() {
     while (!closed_ && !unsent_.empty()) {
@@ -120,9 +121,9 @@
             return again_.async_wait(go_on);
         }
         waiting_ = false;
+        broken_ = true;
         // Not from within whoever sends: what they hold may end with this.
-        asio::post(socket_.get_executor(), [self = shared_from_this()] { self->end(); });
-        return unsent_.clear();
+        return asio::post(socket_.get_executor(), [self = shared_from_this()] { self->end(); });
     }
 }
 bool HandoverChannel::send_one(const HandoverMessage& message) {
@@ -143,7 +144,7 @@
 }
 
 HandoverPlace::HandoverPlace(asio::io_context& io, std::string folder, const std::string& name)
-    : io_(io), folder_(std::move(folder)), name_("spartrack-" + name), listener_(io) {}
+    : io_(io), folder_(std::move(folder)), name_("spartrack-" + name), listener_(io), accept_pause_(io) {}
 
 std::shared_ptr<HandoverChannel> HandoverPlace::find() const {
     const Descriptor folder = open_folder(folder_);
@@ -178,6 +179,7 @@
 }
 void HandoverPlace::stop() {
     error_code ec;
+    accept_pause_.cancel();
     listener_.close(ec);
 }
 
@@ -186,8 +188,16 @@
         if (ec || !listener_.is_open()) return;
         Descriptor socket(
             ::accept4(listener_.native_handle(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
-        if (socket) on_comer_(std::make_shared<HandoverChannel>(io_, std::move(socket)));
-        accept();
+        if (socket) {
+            on_comer_(std::make_shared<HandoverChannel>(io_, std::move(socket)));
+            return accept();
+        }
+        // Guards against a spin: without descriptors, whoever waits there would wake this at once and for
+        // ever.
+        accept_pause_.expires_after(accept_again);
+        accept_pause_.async_wait([this](error_code stopped) {
+            if (!stopped) accept();
+        });
     });
 }
 
--- a/src/node/handover.h
+++ b/src/node/handover.h
@@ -63,6 +63,9 @@
     void start(Callbacks callbacks);
     void send(HandoverMessage::Kind kind, std::string text = {}, Descriptor&& descriptor = {});
     void close();
+    // What the other process has not been sent, to be had back once the channel has ended.
+    std::deque<HandoverMessage> take_unsent() { return std::exchange(unsent_, {}); }
+    bool has_unsent() const { return !closed_ && !unsent_.empty(); }
 
   private:
     void read();
@@ -76,6 +79,7 @@
     Callbacks callbacks_;
     std::deque<HandoverMessage> unsent_;
     bool waiting_ = false, closed_ = false;
+    bool broken_ = false;  // nothing can be sent any more
 };
 
 // The place in $TMPDIR where a process waits for the one that comes after it.
@@ -95,6 +99,7 @@
     boost::asio::io_context& io_;
     std::string folder_, name_;
     boost::asio::posix::stream_descriptor listener_;
+    boost::asio::steady_timer accept_pause_;
     std::function<void(std::shared_ptr<HandoverChannel>)> on_comer_;
 };
 
--- a/src/node/runtime.cpp
+++ b/src/node/runtime.cpp
@@ -278,8 +278,8 @@
     std::string().swap(left_state_);
 }
 void Runtime::carry_out(sr::LeaveState& action) { left_state_ = std::move(action.bytes); }
+// Also while this process is draining: nobody else serves what comes meanwhile.
 void Runtime::take_back() {
-    if (drained_) return;
     budget_.set_most(sockets_);
     feed(sr::HandedOver{false});
     if (peers_) peers_->listen(true);
@@ -696,7 +696,7 @@
         for (const std::uint64_t id : open)
             if (const auto it = live_.find(id); it != live_.end() && !it->second.answered) give_up(it);
     }
-    if (over || (clients_->quiet() && !clients_->take_rest())) {
+    if (over || (clients_->quiet() && !clients_->take_rest() && !upgrade_->delivering())) {
         discovery_->stop();
         LogLine(LogLevel::info, "drained")
             .with("cause", over ? "time_over" : "quiet")
--- a/src/node/upgrade.cpp
+++ b/src/node/upgrade.cpp
@@ -136,10 +136,13 @@
     }
 }
 void Upgrade::end_next() {
+    std::deque<HandoverMessage> unsent = next_->take_unsent();
     next_.reset();
     if (!std::exchange(left_, false)) return;
     LogLine(LogLevel::warning, "upgrade_taken_back").with("cause", "the next process has ended");
     callbacks_.take_back();
+    for (HandoverMessage& message : unsent)
+        if (message.kind == Kind::client || message.kind == Kind::host) callbacks_.adopt(std::move(message));
     wait_for_next();
 }
 
--- a/src/node/upgrade.h
+++ b/src/node/upgrade.h
@@ -28,7 +28,8 @@
         std::function<void(HandoverMessage&&)> adopt;  // a connection
         std::function<void()> former_ended;
         std::function<void(HandoverChannel&)> leave;  // to say all that Left holds, then the connections
-        std::function<void()> take_back;              // the next process has ended before this one
+        std::function<void()> take_back;  // the next process has ended before this one; what had not
+                                          // been sent to it follows by `adopt`
         std::function<void(HandoverMessage&&)> told;  // a fact, by the other process
     };
     Upgrade(boost::asio::io_context& io, HandoverPlace&& place, Callbacks callbacks);
@@ -44,6 +45,8 @@
     void tell(HandoverMessage::Kind kind, const std::string& text = {});
     bool waiting() const { return former_ && !served_; }
     bool left() const { return left_; }
+    // Something is on its way to the next process still.
+    bool delivering() const { return next_ && next_->has_unsent(); }
 
   private:
     void on_former(HandoverMessage&& message);
--- a/tools/fault_soak/clients.cpp
+++ b/tools/fault_soak/clients.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <memory>
 
+#include "text.h"
+
 namespace fault_soak {
 namespace {
 constexpr double think_ms = 120;
@@ -230,7 +232,7 @@
     std::array<char, 512> bytes;
     if (!watchdog.fired()) co_await socket.async_read_some(asio::buffer(bytes), into(ec));
     if (watchdog.fired() && gateway_lives())
-        oracle.violate(Rule::bad_client_kept, "", "a bad client (kind " + std::to_string(chance % 7) + ")",
+        oracle.violate(Rule::bad_client_kept, "", concat("a bad client (kind ", chance % 7, ")"),
                        Clock::now());
 }
 
--- a/tools/fault_soak/gateway_process.cpp
+++ b/tools/fault_soak/gateway_process.cpp
@@ -12,9 +12,11 @@
 #include <stdexcept>
 #include <vector>
 
+#include "text.h"
+
 namespace fault_soak {
 namespace {
-constexpr std::uint16_t first_port = 20000, last_port = 32000;
+constexpr int first_port = 20000, ranges = 50, ports_of_a_range = 240;
 
 bool is_free(std::uint16_t port) {
     asio::io_context io;
@@ -29,13 +31,10 @@
 }
 }  // namespace
 
-std::uint16_t take_port() {
-    static std::uint16_t next = static_cast<std::uint16_t>(first_port + static_cast<unsigned>(::getpid()) *
-                                                                            64 % (last_port - first_port));
-    for (int tries = 0; tries < last_port - first_port; ++tries) {
-        next = next < last_port ? static_cast<std::uint16_t>(next + 1) : first_port;
-        if (is_free(next)) return next;
-    }
+Ports::Ports() : next_(static_cast<std::uint16_t>(first_port + ::getpid() % ranges * ports_of_a_range)) {}
+std::uint16_t Ports::take() {
+    for (int tries = 0; tries < ports_of_a_range; ++tries)
+        if (is_free(++next_)) return next_;
     throw std::runtime_error("no free port on loopback");
 }
 
@@ -53,13 +52,13 @@
 
 GatewayProcess::GatewayProcess(const Files& files, const std::filesystem::path& config, int number,
                                std::uint64_t seed)
-    : log_(files.folder / ("process-" + std::to_string(number) + ".log")) {
+    : log_(files.folder / concat("process-", number, ".log")) {
     std::vector<std::string> variables{"BALANCER_CONFIG=" + config.string(),
                                        "TMPDIR=" + files.folder.string(), "SPARTRACK_LOG=debug"};
     if (!files.shim.empty()) {
         variables.push_back("LD_PRELOAD=" + files.shim.string());
         variables.push_back(std::string(shim_control_variable) + "=" + (files.folder / "control").string());
-        variables.push_back(std::string(shim_seed_variable) + "=" + std::to_string(seed % 1'000'000));
+        variables.push_back(concat(shim_seed_variable, "=", seed % 1'000'000));
     }
     std::vector<char*> environment;
     for (std::string& variable : variables) environment.push_back(variable.data());
--- a/tools/fault_soak/gateway_process.h
+++ b/tools/fault_soak/gateway_process.h
@@ -52,7 +52,15 @@
     bool ended_ = false;
 };
 
-// A port of loopback that nobody listens on, apart from those that the system gives out.
-std::uint16_t take_port();
+// Ports of loopback that nobody listens on, apart from those that the system gives out. Another soak on the
+// machine takes others.
+class Ports {
+  public:
+    Ports();
+    std::uint16_t take();
+
+  private:
+    std::uint16_t next_;
+};
 
 }  // namespace fault_soak
--- a/tools/fault_soak/host_list.cpp
+++ b/tools/fault_soak/host_list.cpp
@@ -17,7 +17,7 @@
     for (int host = 0; host < hosts; ++host) {
         ListedHost listed;
         listed.uid = concat("h", host);
-        listed.zone = host % zones == 0 ? "a" : "b";
+        listed.zone.assign(1, host % zones == 0 ? 'a' : 'b');
         hosts_.push_back(listed);
     }
 }
--- a/tools/fault_soak/host_stub.cpp
+++ b/tools/fault_soak/host_stub.cpp
@@ -2,6 +2,8 @@
 
 #include <cstdlib>
 
+#include "text.h"
+
 namespace fault_soak {
 namespace {
 constexpr double usual_work_ms = 15, slow_work_ms = 400;
@@ -10,8 +12,7 @@
 constexpr int one_large_in = 50;
 
 std::string head(unsigned status, const std::string& fields, std::size_t length) {
-    return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + fields +
-           "Content-Length: " + std::to_string(length) + "\r\n\r\n";
+    return concat("HTTP/1.1 ", status, " X\r\n", fields, "Content-Length: ", length, "\r\n\r\n");
 }
 const std::string load_report = "Endpoint-Load-Metrics: TEXT outstanding=1, backlog=0\r\n";
 }  // namespace
@@ -97,7 +98,7 @@
     }
     if (mode_ == HostMode::resets && random_() % 2 == 0) co_return reset(socket);
     if (mode_ == HostMode::spoils) co_return co_await answer_spoilt(socket, exchange);
-    std::string body = exchange.trace + ":" + std::to_string(number_) + ":" + std::to_string(++served_);
+    std::string body = concat(exchange.trace, ":", number_, ":", ++served_);
     if (random_() % one_large_in == 0) body.append(large_body, 'x');
     says(Oracle::HostSays::served, body);
     co_await say(socket, head(200, load_report, body.size()) + body);
--- a/tools/fault_soak/main.cpp
+++ b/tools/fault_soak/main.cpp
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "soak.h"
+#include "text.h"
 
 namespace {
 using namespace fault_soak;
@@ -41,7 +42,7 @@
 // True where all rules were kept.
 bool play_seed(Settings settings, std::uint64_t seed) {
     settings.options.shape.seed = seed;
-    settings.options.folder = std::filesystem::path(settings.folder) / ("seed-" + std::to_string(seed));
+    settings.options.folder = std::filesystem::path(settings.folder) / concat("seed-", seed);
     std::filesystem::remove_all(settings.options.folder);
     Soak soak(settings.options);
     soak.run();
--- a/tools/fault_soak/soak.cpp
+++ b/tools/fault_soak/soak.cpp
@@ -5,6 +5,8 @@
 #include <fstream>
 #include <sstream>
 
+#include "text.h"
+
 namespace fault_soak {
 namespace {
 constexpr int clients_of_a_gateway = 4;
@@ -20,7 +22,7 @@
 std::int64_t unix_ms() {
     return std::chrono::duration_cast<Span>(std::chrono::system_clock::now().time_since_epoch()).count();
 }
-std::string loopback(std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); }
+std::string loopback(std::uint16_t port) { return concat("127.0.0.1:", port); }
 tcp::endpoint endpoint_of(const std::string& address) {
     const std::size_t colon = address.rfind(':');
     return {asio::ip::make_address(address.substr(0, colon)),
@@ -63,14 +65,15 @@
 // ---- gateways ----
 
 void Soak::make_gateways() {
+    Ports ports;
     gateways_.resize(static_cast<std::size_t>(options_.shape.gateways));
     for (int number = 0; number < options_.shape.gateways; ++number) {
         Gateway& gateway = gateways_[static_cast<std::size_t>(number)];
-        gateway.listen = loopback(take_port());
-        gateway.mgmt = loopback(take_port());
-        gateway.next_mgmt = loopback(take_port());
-        gateway.peers = loopback(take_port());
-        gateway.folder = options_.folder / ("gateway-" + std::to_string(number));
+        gateway.listen = loopback(ports.take());
+        gateway.mgmt = loopback(ports.take());
+        gateway.next_mgmt = loopback(ports.take());
+        gateway.peers = loopback(ports.take());
+        gateway.folder = options_.folder / concat("gateway-", number);
         gateway.config = gateway.folder / "config.json";
         std::filesystem::create_directories(gateway.folder);
         gateway.control = std::make_unique<MappedControl>(gateway.folder / "control");
@@ -185,7 +188,7 @@
         oracle_.gateway_killed(number, Clock::now());
         while (!gateway.process->ended()) co_await pause(io_, look_again);
     } else if (gateway.process->status() != 0) {
-        oracle_.violate(Rule::crash, "", "gateway " + std::to_string(number) + " did not end in good order",
+        oracle_.violate(Rule::crash, "", concat("gateway ", number, " did not end in good order"),
                         Clock::now());
     }
     oracle_.gateway_ended(number, Clock::now(), true);
@@ -217,14 +220,13 @@
         co_await ask(gateway.next_mgmt, "GET /status HTTP/1.1\r\nHost: x\r\n\r\n", status, body);
     }
     if (status != 200)
-        oracle_.violate(Rule::not_ready, "", "upgrade of gateway " + std::to_string(number), Clock::now());
+        oracle_.violate(Rule::not_ready, "", concat("upgrade of gateway ", number), Clock::now());
     gateway.former->signal(SIGTERM);
     const Time kill_at = Clock::now() + terms.longest_deadline + kill_after_longest + kill_margin;
     while (!gateway.former->ended() && Clock::now() < kill_at) co_await pause(io_, look_again);
     if (!gateway.former->ended()) oracle_.gateway_killed(number, Clock::now());
     else if (gateway.former->status() != 0)
-        oracle_.violate(Rule::crash, "", "the former process of gateway " + std::to_string(number),
-                        Clock::now());
+        oracle_.violate(Rule::crash, "", concat("the former process of gateway ", number), Clock::now());
     gateway.former.reset();
     std::swap(gateway.mgmt, gateway.next_mgmt);
 }
@@ -519,8 +521,7 @@
         if (gateway.process->ended()) continue;
         co_await ask(gateway.mgmt, "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n", status, body);
         if (body.find("spartrack_rule_violations_total 0\n") == std::string::npos)
-            oracle_.violate(Rule::own_guard, "", "its metrics (" + std::to_string(status) + "): " + body,
-                            Clock::now());
+            oracle_.violate(Rule::own_guard, "", concat("its metrics (", status, "): ", body), Clock::now());
         gateway.process->signal(SIGTERM);
     }
     const Time give_up = Clock::now() + terms.longest_deadline + kill_after_longest + 1s + options_.slack;
@@ -528,8 +529,8 @@
         GatewayProcess& process = *gateways_[static_cast<std::size_t>(number)].process;
         while (!process.ended() && Clock::now() < give_up) co_await pause(io_, look_again);
         if (!process.ended() || process.status() != 0)
-            oracle_.violate(Rule::crash, "",
-                            "gateway " + std::to_string(number) + " did not end in good order", Clock::now());
+            oracle_.violate(Rule::crash, "", concat("gateway ", number, " did not end in good order"),
+                            Clock::now());
     }
 }
 
