--- a/tools/fault_soak/main.cpp
+++ b/tools/fault_soak/main.cpp
@@ -4,6 +4,7 @@
 #include <cstdio>
 #include <filesystem>
 #include <map>
+#include <stdexcept>
 #include <string>
 
 #include "soak.h"
@@ -46,6 +47,7 @@
     std::filesystem::remove_all(settings.options.folder);
     Soak soak(settings.options);
     soak.run();
+    if (soak.interrupted()) throw std::runtime_error("ended by a signal");
     const Figures& figures = soak.oracle().figures();
     const auto& violations = soak.oracle().violations();
     std::printf(
--- a/tools/fault_soak/soak.cpp
+++ b/tools/fault_soak/soak.cpp
@@ -535,8 +535,15 @@
 }
 
 void Soak::run() {
+    asio::signal_set signals(io_, SIGTERM, SIGINT);
+    signals.async_wait([this](error_code stopped, int) {
+        if (stopped) return;
+        interrupted_ = true;
+        io_.stop();
+    });
     asio::co_spawn(io_, play(), asio::detached);
     io_.run();
+    if (interrupted_) return;
     oracle_.finish();
     read_logs();
 }
--- a/tools/fault_soak/soak.h
+++ b/tools/fault_soak/soak.h
@@ -37,6 +37,8 @@
     // What happened to a request, and what its gateways logged of it.
     std::string trace_of(const Violation& violation) const;
     Time origin() const { return origin_; }
+    // Ended by a signal: its gateways have been ended as well, and nothing is proved.
+    bool interrupted() const { return interrupted_; }
     // How late this program's own loop has been at most: beyond the slack, limits of time prove nothing.
     Span worst_lateness() const { return worst_lateness_; }
 
@@ -104,6 +106,7 @@
     Time origin_;
     Span worst_lateness_{0};
     bool ending_ = false;
+    bool interrupted_ = false;
 };
 
 }  // namespace fault_soak
