Name client connections in the log, and widen the soak's troubles

The log tells when a client's connection is accepted, which requests came on it and why it ended. The soak also plays hosts that drop idle connections, discovery in pieces, bans and standby by operators, clients that rest until their gateway ends the connection, and requests with some milliseconds left.

--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -87,9 +87,11 @@
           socket_(std::move(socket)),
           place_(std::move(place)),
           unread_(most_unread),
+          number_(server.next_connection_++),
           came_(came) {
         expect(header_most);
     }
+    std::uint64_t number() const { return number_; }
 
     Connections::iterator self;  // where the server keeps it: there
     Connections* list = nullptr;
@@ -232,7 +234,7 @@
         if (std::exchange(closed_, true)) return;
         error_code ec;
         socket_.close(ec);
-        server_.note_closed(cause, request_);
+        server_.note_closed(cause, number_, request_);
         if (const std::uint64_t id = std::exchange(request_, 0)) {
             server_.in_hand_.erase(id);
             server_.callbacks_.on_left(id);
@@ -260,7 +262,7 @@
         Descriptor socket(socket_.release(ec));
         if (ec) return close(ClientClose::abandoned);
         closed_ = true;
-        server_.note_closed(ClientClose::handed_over, 0);
+        server_.note_closed(ClientClose::handed_over, number_, 0);
         const auto keep = shared_from_this();
         list->erase(self);
         place_.give_back();
@@ -418,6 +420,7 @@
         ClientRequest request;
         request.room = std::move(room_);
         request.id = request_ = server_.next_id_++;
+        request.connection = number_;
         request.arrived = unread_since_;
         request.message = std::move(message);
         server_.in_hand_.emplace(request_, this);
@@ -500,6 +503,7 @@
     boost::beast::flat_buffer unread_;
     ByteBudget::Room room_;                    // of the body that is read
     std::size_t dropped_ = 0, body_came_ = 0;  // of a body, since its time was last extended
+    const std::uint64_t number_;
     Steady::time_point came_;
     std::optional<Steady::time_point>
         first_bytes_at_;               // where they were here before the connection was accepted
@@ -546,8 +550,11 @@
     sweep();
     accept();
 }
-void ClientServer::note_closed(ClientClose cause, std::uint64_t request) {
-    LogLine(LogLevel::debug, "client_closed").with("cause", name_of(cause)).with("request", request);
+void ClientServer::note_closed(ClientClose cause, std::uint64_t connection, std::uint64_t request) {
+    LogLine(LogLevel::debug, "client_closed")
+        .with("connection", connection)
+        .with("cause", name_of(cause))
+        .with("request", request);
     if (callbacks_.on_closed) callbacks_.on_closed(cause, request);
 }
 
@@ -624,6 +631,7 @@
     const auto taken = std::make_shared<Connection>(*this, std::move(socket), std::move(*place), came_by());
     taken->self = newcomers_.insert(newcomers_.end(), taken);
     taken->list = &newcomers_;
+    LogLine(LogLevel::debug, "client_accepted").with("connection", taken->number());
     taken->start();
     if (known_.size() > budget_.most() / kept_part) close_one_idle();
     return true;
--- a/src/node/client_server.h
+++ b/src/node/client_server.h
@@ -22,7 +22,8 @@
 namespace spartrack {
 
 struct ClientRequest {
-    std::uint64_t id = 0;        // never used again
+    std::uint64_t id = 0;  // never used again
+    std::uint64_t connection = 0;
     Steady::time_point arrived;  // at this machine, as far as that is known: never later than it did
     Request message;             // without what concerns the client's connection only
     ByteBudget::Room room;       // its body's
@@ -112,7 +113,7 @@
     bool connection_waits();
     Steady::time_point came_by() const;
     std::shared_ptr<Connection> take_from_hand(std::uint64_t id);
-    void note_closed(ClientClose cause, std::uint64_t request);
+    void note_closed(ClientClose cause, std::uint64_t connection, std::uint64_t request);
     bool close_one_newcomer(std::chrono::steady_clock::duration silent_for);
     bool close_one_idle();
     bool make_room();
@@ -131,7 +132,7 @@
     // or was used longest ago first.
     Connections newcomers_, known_;
     std::unordered_map<std::uint64_t, Connection*> in_hand_;  // by request
-    std::uint64_t next_id_ = 1;
+    std::uint64_t next_id_ = 1, next_connection_ = 1;
     bool open_ = false, accepting_ = false, starved_ = false, draining_ = false, standby_ = false;
 };
 
--- a/src/node/runtime.cpp
+++ b/src/node/runtime.cpp
@@ -479,6 +479,7 @@
     live.deadline = deadline;
     LogLine(LogLevel::debug, "request_received")
         .with("request", request.id)
+        .with("connection", request.connection)
         .with("trace", live.trace)
         .with("class", settings_.classes[static_cast<std::size_t>(event.request_class)].name)
         .with("customer", event.customer)
--- a/tools/fault_soak/clients.cpp
+++ b/tools/fault_soak/clients.cpp
@@ -11,6 +11,8 @@
 constexpr Span patience_after_deadline = 700ms, no_gateway_pause = 50ms;
 constexpr int own_gateway_in_ten = 8, customers = 20, one_in_pieces_of = 8, one_leaver_of = 3;
 constexpr Span bad_client_owed = 3s;
+constexpr Span rest = 9900ms;
+constexpr int one_rest_of = 150, one_in_a_hurry_of = 25, hurry_ms = 30;
 constexpr std::size_t flood_bytes = std::size_t{4} << 20;
 
 struct RequestKind {
@@ -58,6 +60,9 @@
     std::exponential_distribution<double> think(1 / think_ms);
     while (!mood_.over) {
         co_await pause(io_, std::chrono::microseconds(static_cast<std::int64_t>(think(random_) * 1000)));
+        // Some rest for so long that their gateway ends the connection about when they ask again.
+        if (random_() % one_rest_of == 0)
+            co_await pause(io_, rest + Span(static_cast<std::int64_t>(random_() % 200)));
         const int gateway = choose_gateway();
         if (gateway < 0) {
             co_await pause(io_, no_gateway_pause);
@@ -96,9 +101,9 @@
     Sent sent;
     sent.trace = hex16((static_cast<std::uint64_t>(number_) << 32) + ++sent_);
     sent.effect = kind.effect;
-    const int wait_ms =
-        kind.least_ms +
-        static_cast<int>(random_() % static_cast<std::uint64_t>(kind.most_ms - kind.least_ms));
+    int wait_ms = kind.least_ms +
+                  static_cast<int>(random_() % static_cast<std::uint64_t>(kind.most_ms - kind.least_ms));
+    if (random_() % one_in_a_hurry_of == 0) wait_ms = 1 + wait_ms % hurry_ms;
     sent.deadline = Clock::now() + Span(wait_ms);
     const bool metered = random_() % 4 == 0;
     std::string& text = sent.text;
--- a/tools/fault_soak/discovery_stub.cpp
+++ b/tools/fault_soak/discovery_stub.cpp
@@ -1,10 +1,13 @@
 #include "discovery_stub.h"
 
+#include <algorithm>
 #include <cstdlib>
+#include <sstream>
 
 namespace fault_soak {
 namespace {
-constexpr Span look_again = 5ms;
+constexpr Span look_again = 5ms, between_pieces = 20ms;
+constexpr std::size_t piece = 400;
 
 std::int64_t number_behind(std::string_view target, std::string_view key, std::int64_t otherwise) {
     const std::size_t at = target.find(key);
@@ -42,6 +45,21 @@
         co_await pause(io_, look_again);
 }
 
+Task DiscoveryAgent::write(tcp::socket& socket, HttpAnswer& answer, error_code& ec) {
+    if (!faults.slow) {
+        co_await http::async_write(socket, answer, into(ec));
+        co_return;
+    }
+    std::ostringstream text;
+    text << answer;
+    const std::string whole = text.str();
+    for (std::size_t at = 0; at < whole.size() && !ec; at += piece) {
+        const std::size_t size = std::min(piece, whole.size() - at);
+        co_await asio::async_write(socket, asio::buffer(whole.data() + at, size), into(ec));
+        co_await pause(io_, between_pieces);
+    }
+}
+
 Task DiscoveryAgent::serve(tcp::socket socket) {
     error_code ec;
     boost::beast::flat_buffer buffer;
@@ -62,7 +80,7 @@
         const Time of = Clock::now();
         if (!faults.refuses) answer.body() = list_.json(addresses_, faults.whole_lists ? -1 : since);
         answer.prepare_payload();
-        co_await http::async_write(socket, answer, into(ec));
+        co_await write(socket, answer, ec);
         if (ec) co_return;
         if (!faults.refuses) on_told_(of);
     }
--- a/tools/fault_soak/discovery_stub.h
+++ b/tools/fault_soak/discovery_stub.h
@@ -15,6 +15,7 @@
     bool silent = false;       // takes calls and says nothing, for good on the connections that it had
     bool refuses = false;      // answers 503
     bool whole_lists = false;  // tells changes as whole lists
+    bool slow = false;         // answers in pieces
     std::size_t silences = 0;  // that have begun
 };
 
@@ -37,6 +38,7 @@
   private:
     Task accept(tcp::acceptor& listener);
     Task serve(tcp::socket socket);
+    Task write(tcp::socket& socket, HttpAnswer& answer, error_code& ec);
     // Waits until there is something newer, the hold is over or the agent falls silent.
     Task wait_for_change(std::int64_t since, Clock::duration hold);
 
--- a/tools/fault_soak/host_stub.cpp
+++ b/tools/fault_soak/host_stub.cpp
@@ -8,6 +8,7 @@
 namespace {
 constexpr double usual_work_ms = 15, slow_work_ms = 400;
 constexpr Span hang_look = 20ms, late_second_answer = 5ms;
+constexpr Span idle_look = 50ms, idle_most = 3s;  // as the settings of the run have it
 constexpr std::size_t large_body = 200 * 1024;
 constexpr int one_large_in = 50;
 
@@ -25,24 +26,46 @@
       random_(seed),
       listener_(io, any_port()) {
     asio::co_spawn(io, accept(), asio::detached);
+    asio::co_spawn(io, end_idle(), asio::detached);
 }
 
 void HostStub::set_mode(HostMode mode) {
     mode_ = mode;
     if (mode != HostMode::down && mode != HostMode::resets) return;
-    for (const auto& weak : std::exchange(sockets_, {}))
-        if (const auto socket = weak.lock()) reset(*socket);
+    for (const auto& weak : std::exchange(connections_, {}))
+        if (const auto connection = weak.lock()) reset(connection->socket);
+}
+void HostStub::drop_idle(bool with_reset) {
+    for (const auto& weak : connections_) {
+        const auto connection = weak.lock();
+        if (!connection || connection->busy) continue;
+        error_code ec;
+        if (with_reset) reset(connection->socket);
+        else connection->socket.close(ec);
+    }
+}
+// As the protocol has it: a connection that has stood idle for the settings' time ends.
+Task HostStub::end_idle() {
+    for (;;) {
+        co_await pause(io_, idle_look);
+        for (const auto& weak : connections_) {
+            const auto connection = weak.lock();
+            error_code ec;
+            if (connection && !connection->busy && Clock::now() - connection->used >= idle_most)
+                connection->socket.close(ec);
+        }
+    }
 }
 
 Task HostStub::accept() {
     for (;;) {
         error_code ec;
-        auto socket = std::make_shared<tcp::socket>(co_await listener_.async_accept(into(ec)));
+        auto connection = std::make_shared<Connection>(co_await listener_.async_accept(into(ec)));
         if (ec) co_return;
-        std::erase_if(sockets_, [](const auto& old) { return old.expired(); });
-        sockets_.push_back(socket);
-        if (mode_ == HostMode::down) reset(*socket);
-        else asio::co_spawn(io_, serve(std::move(socket)), asio::detached);
+        std::erase_if(connections_, [](const auto& old) { return old.expired(); });
+        connections_.push_back(connection);
+        if (mode_ == HostMode::down) reset(connection->socket);
+        else asio::co_spawn(io_, serve(std::move(connection)), asio::detached);
     }
 }
 
@@ -55,15 +78,19 @@
     return exchange;
 }
 
-Task HostStub::serve(std::shared_ptr<tcp::socket> socket) {
+Task HostStub::serve(std::shared_ptr<Connection> connection) {
+    tcp::socket* const socket = &connection->socket;
     error_code ec;
     socket->set_option(tcp::no_delay(true), ec);
     const std::uint16_t port = socket->remote_endpoint(ec).port();
     boost::beast::flat_buffer buffer;
     while (socket->is_open()) {
         HttpRequest request;
+        connection->busy = false;
+        connection->used = Clock::now();
         co_await http::async_read(*socket, buffer, request, into(ec));
         if (ec) co_return;
+        connection->busy = true;
         const FaultProxy::Origin* const origin = proxy_->origin(port);
         if (origin == nullptr) co_return;
         if (request.target() == "/_load" || request.target() == "/ping") {
--- a/tools/fault_soak/host_stub.h
+++ b/tools/fault_soak/host_stub.h
@@ -21,6 +21,8 @@
     tcp::endpoint endpoint() const { return listener_.local_endpoint(); }
     void use(const FaultProxy& proxy) { proxy_ = &proxy; }
     void set_mode(HostMode mode);
+    // Ends the connections that carry nothing now, with a reset or in good order.
+    void drop_idle(bool with_reset);
 
   private:
     struct Exchange {
@@ -28,7 +30,8 @@
         std::size_t attempt = 0;
     };
     Task accept();
-    Task serve(std::shared_ptr<tcp::socket> socket);
+    struct Connection;
+    Task serve(std::shared_ptr<Connection> connection);
     Task answer(tcp::socket& socket, const Exchange& exchange);
     Task answer_spoilt(tcp::socket& socket, const Exchange& exchange);
     Task say(tcp::socket& socket, std::string text);
@@ -42,7 +45,14 @@
     tcp::acceptor listener_;
     const FaultProxy* proxy_ = nullptr;
     HostMode mode_ = HostMode::serves;
-    std::vector<std::weak_ptr<tcp::socket>> sockets_;
+    struct Connection {
+        explicit Connection(tcp::socket&& from) : socket(std::move(from)) {}
+        tcp::socket socket;
+        bool busy = false;
+        Time used = Clock::now();
+    };
+    Task end_idle();
+    std::vector<std::weak_ptr<Connection>> connections_;
     std::uint64_t served_ = 0;
 };
 
--- a/tools/fault_soak/oracle.cpp
+++ b/tools/fault_soak/oracle.cpp
@@ -33,7 +33,10 @@
 
 Oracle::Oracle(RuleTerms terms, int gateways, int hosts)
     : terms_(terms), gateways_(static_cast<std::size_t>(gateways)), hosts_(static_cast<std::size_t>(hosts)) {
-    for (HostLife& host : hosts_) host.told.resize(gateways_.size());
+    for (HostLife& host : hosts_) {
+        host.told.resize(gateways_.size());
+        host.banned.resize(gateways_.size());
+    }
 }
 
 void Oracle::violate(Rule rule, const std::string& trace, const std::string& text, Time at) {
@@ -88,6 +91,10 @@
     }
 }
 
+void Oracle::banned(int gateway, int host, std::optional<Time> at) {
+    hosts_[static_cast<std::size_t>(host)].banned[static_cast<std::size_t>(gateway)] = at;
+}
+
 // ---- clients ----
 
 void Oracle::sent(const std::string& trace, Effect effect, int gateway, Time at, Time deadline) {
@@ -198,8 +205,10 @@
 }
 void Oracle::judge_drain(const std::string& trace, const Attempt& attempt) {
     const HostLife& host = hosts_[static_cast<std::size_t>(attempt.host)];
-    const auto& told = host.told[static_cast<std::size_t>(attempt.gateway)];
-    if (!host.leaves || !told) return;
+    const auto& banned = host.banned[static_cast<std::size_t>(attempt.gateway)];
+    const auto& listed = host.told[static_cast<std::size_t>(attempt.gateway)];
+    const auto& told = banned ? banned : listed;
+    if (!told || (!banned && !host.leaves)) return;
     const Span late = std::chrono::duration_cast<Span>(attempt.first_byte - *told);
     if (late > terms_.drain_grace + socket_slack + held_up + terms_.slack)
         violate(Rule::drain, trace,
--- a/tools/fault_soak/oracle.h
+++ b/tools/fault_soak/oracle.h
@@ -68,6 +68,8 @@
     void host_back(int host, Time at, bool cold);
     // The gateway counts as told of all that the list has had until `of`, from `at` on.
     void told(int gateway, Time of, Time at);
+    // Operators have taken a host out at one gateway, or put it back.
+    void banned(int gateway, int host, std::optional<Time> at);
 
     // ---- clients ----
     void sent(const std::string& trace, Effect effect, int gateway, Time at, Time deadline);
@@ -118,8 +120,9 @@
     struct HostLife {
         std::optional<Time> leaves;  // none: it is listed as ready
         std::optional<Time> cold_since;
-        std::vector<std::optional<Time>> told;  // of the leave, by gateway
-        std::vector<Time> recent;               // attempts while it is cold
+        std::vector<std::optional<Time>> told;    // of the leave, by gateway
+        std::vector<std::optional<Time>> banned;  // by operators of the gateway
+        std::vector<Time> recent;                 // attempts while it is cold
     };
     bool excused_by_gateway(const Request& request) const;
     void judge_duplicate(const std::string& trace, Request& request, const Attempt& next);
--- a/tools/fault_soak/plan.cpp
+++ b/tools/fault_soak/plan.cpp
@@ -10,12 +10,13 @@
 constexpr Span least_length = 300ms, most_length = 3000ms, most_pause_between = 900ms;
 
 constexpr std::array<const char*, trouble_kinds> kind_names{
-    "gateway_restart", "gateway_kill",   "gateway_reload",    "gateway_bad_file",  "gateway_upgrade",
-    "gateway_pause",   "host_drain",     "host_remove",       "host_restart",      "host_hang",
-    "host_reset",      "host_errors",    "host_spoilt",       "host_slow",         "link_silent",
-    "link_reset",      "link_late",      "discovery_silent",  "discovery_refuses", "discovery_whole",
-    "wall_clock_step", "short_io",       "interrupted_waits", "failing_accepts",   "failing_connects",
-    "failing_files",   "lost_datagrams", "bad_clients",       "clients_leave"};
+    "gateway_restart", "gateway_kill",     "gateway_reload",  "gateway_bad_file", "gateway_upgrade",
+    "gateway_pause",   "host_drain",       "host_remove",     "host_restart",     "host_hang",
+    "host_reset",      "host_errors",      "host_spoilt",     "host_slow",        "host_drops_idle",
+    "link_silent",     "link_reset",       "link_late",       "discovery_silent", "discovery_refuses",
+    "discovery_slow",  "discovery_whole",  "wall_clock_step", "short_io",         "interrupted_waits",
+    "failing_accepts", "failing_connects", "failing_files",   "lost_datagrams",   "bad_clients",
+    "clients_leave",   "operator_ban",     "operator_standby"};
 
 Span between(Random& random, Span least, Span most) {
     return least +
--- a/tools/fault_soak/plan.h
+++ b/tools/fault_soak/plan.h
@@ -27,11 +27,13 @@
     host_errors,       // 500, or turned away
     host_spoilt,       // cut, endless, doubled or unreadable answers
     host_slow,
-    link_silent,  // one gateway's way to one host carries nothing
-    link_reset,   // its connections are reset
-    link_late,    // what goes over a new connection arrives late
+    host_drops_idle,  // ends connections that carry nothing
+    link_silent,      // one gateway's way to one host carries nothing
+    link_reset,       // its connections are reset
+    link_late,        // what goes over a new connection arrives late
     discovery_silent,
     discovery_refuses,
+    discovery_slow,   // answers in pieces
     discovery_whole,  // tells whole lists only
     wall_clock_step,
     short_io,
@@ -42,8 +44,10 @@
     lost_datagrams,
     bad_clients,  // half requests, floods, lines without an end, bytes that are no request
     clients_leave,
+    operator_ban,  // operators take a host out at one gateway, and put it back
+    operator_standby,
 };
-constexpr int trouble_kinds = static_cast<int>(TroubleKind::clients_leave) + 1;
+constexpr int trouble_kinds = static_cast<int>(TroubleKind::operator_standby) + 1;
 const char* name_of(TroubleKind kind);
 
 struct Trouble {
--- a/tools/fault_soak/soak.cpp
+++ b/tools/fault_soak/soak.cpp
@@ -360,12 +360,44 @@
     mood_.leaves_early = false;
 }
 
+Task Soak::operator_call(int number, std::string path, std::string body, bool& done) {
+    const std::string request =
+        concat("POST ", path, " HTTP/1.1\r\nHost: x\r\nContent-Length: ", body.size(), "\r\n\r\n", body);
+    unsigned status = 0;
+    std::string text;
+    co_await ask(gateways_[static_cast<std::size_t>(number)].mgmt, request, status, text);
+    done = status == 200;
+}
+// A restart forgets a ban: its gateway is left alone by others meanwhile.
+Task Soak::operator_ban(int number, int host, Span length) {
+    const std::string uid = list_.hosts()[static_cast<std::size_t>(host)].uid;
+    bool done = false;
+    co_await operator_call(number, "/maintenance/enter", uid, done);
+    if (!done) co_return;
+    oracle_.banned(number, host, Clock::now());
+    co_await pause(io_, length);
+    oracle_.banned(number, host, std::nullopt);
+    co_await operator_call(number, "/maintenance/exit", uid, done);
+}
+Task Soak::operator_standby(int number, Span length) {
+    bool done = false;
+    co_await operator_call(number, "/standby", "", done);
+    if (!done) co_return;
+    co_await pause(io_, listener_stays);
+    front_.admitted[static_cast<std::size_t>(number)] = false;
+    co_await pause(io_, length);
+    co_await operator_call(number, "/active", "", done);
+    co_await await_ready(number);
+}
+
 Task Soak::play_trouble(Trouble t) {
     co_await pause(io_, t.at);
     Gateway& gateway = gateways_[static_cast<std::size_t>(t.gateway)];
-    const auto own_gateway = [&] { return t.kind <= TroubleKind::gateway_pause; };
+    const auto own_gateway = [&] {
+        return t.kind <= TroubleKind::gateway_pause || t.kind >= TroubleKind::operator_ban;
+    };
     const auto own_host = [&] {
-        return t.kind >= TroubleKind::host_drain && t.kind <= TroubleKind::host_slow;
+        return t.kind >= TroubleKind::host_drain && t.kind <= TroubleKind::host_drops_idle;
     };
     // Two troubles that would undo each other's state at one place are no crossing of events.
     if ((own_gateway() && gateway.changing) || (own_host() && host_busy_[static_cast<std::size_t>(t.host)]))
@@ -416,6 +448,9 @@
         case TroubleKind::host_slow:
             co_await host_mode(t.host, HostMode::slow, t.length);
             break;
+        case TroubleKind::host_drops_idle:
+            hosts_[static_cast<std::size_t>(t.host)]->drop_idle(t.chance % 2 == 0);
+            break;
         case TroubleKind::link_silent:
             co_await link_silent(t.gateway, t.host, t.length);
             break;
@@ -434,6 +469,11 @@
             co_await pause(io_, t.length);
             gateway.agent->faults.refuses = false;
             break;
+        case TroubleKind::discovery_slow:
+            gateway.agent->faults.slow = true;
+            co_await pause(io_, t.length);
+            gateway.agent->faults.slow = false;
+            break;
         case TroubleKind::discovery_whole:
             gateway.agent->faults.whole_lists = true;
             co_await pause(io_, t.length);
@@ -470,6 +510,12 @@
         case TroubleKind::clients_leave:
             co_await clients_leave(t.length);
             break;
+        case TroubleKind::operator_ban:
+            co_await operator_ban(t.gateway, t.host, t.length);
+            break;
+        case TroubleKind::operator_standby:
+            co_await operator_standby(t.gateway, t.length);
+            break;
     }
     if (own_gateway()) gateway.changing = false;
     if (own_host()) host_busy_[static_cast<std::size_t>(t.host)] = false;
--- a/tools/fault_soak/soak.h
+++ b/tools/fault_soak/soak.h
@@ -84,6 +84,9 @@
     Task wall_clock_step(int gateway, std::int64_t seconds, Span length);
     Task bad_clients(int gateway, std::uint64_t chance);
     Task clients_leave(Span length);
+    Task operator_ban(int gateway, int host, Span length);
+    Task operator_standby(int gateway, Span length);
+    Task operator_call(int gateway, std::string path, std::string body, bool& done);
     void change_host(int host, HostState state, std::int64_t boot_ms);
     void tell_pushed(int gateway, Time at);
     Task tell_asked_later(int gateway, Time of);
