--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -1087,6 +1087,19 @@
     EXPECT_EQ(of<Refuse>(b.actions).size() + of<Fail>(b.actions).size(), 4u);
 }
 
+// Found by the soak: the timer that decides in time would come behind the deadline itself, on the grid of the
+// tick.
+TEST(Deadline, ARequestWithLessThanTheClocksGridLeftIsDecidedAtOnce) {
+    for (const Micros left : {1us, 1000us, 4000us, 8000us}) {
+        Settings s = one_gateway();
+        s.may_probe = true;  // it would wait for a probe
+        Bench b(s);
+        const auto actions = b.ask(1, 1, left, -1);
+        ASSERT_EQ(of<Refuse>(actions).size(), 1u) << left.count();
+        EXPECT_EQ(of<Refuse>(actions)[0].cause, EndCause::expired_on_arrival);
+    }
+}
+
 // Sends requests, 10 ms apart, and counts those that go to host a.
 struct SharedWithA {
     Bench b;
--- a/tools/fault_soak/soak.cpp
+++ b/tools/fault_soak/soak.cpp
@@ -156,7 +156,7 @@
     co_await asio::post(io_, asio::use_awaitable);
 }
 
-Task Soak::await_ready(int number) {
+Task Soak::await_health(int number) {
     const std::string listen = gateways_[static_cast<std::size_t>(number)].listen;
     const Time give_up = Clock::now() + ready_most;
     unsigned status = 0;
@@ -165,9 +165,12 @@
         co_await pause(io_, health_again);
         co_await ask(listen, "GET /_health HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", status, body);
     }
-    oracle_.gateway_ready(number, Clock::now());
     front_.admitted[static_cast<std::size_t>(number)] = status == 200;
 }
+Task Soak::await_ready(int number) {
+    co_await await_health(number);
+    oracle_.gateway_ready(number, Clock::now());
+}
 
 // ---- troubles of gateways ----
 
@@ -387,7 +390,7 @@
     front_.admitted[static_cast<std::size_t>(number)] = false;
     co_await pause(io_, length);
     co_await operator_call(number, "/active", "", done);
-    co_await await_ready(number);
+    co_await await_health(number);
 }
 
 Task Soak::play_trouble(Trouble t) {
--- a/tools/fault_soak/soak.h
+++ b/tools/fault_soak/soak.h
@@ -60,7 +60,8 @@
     std::string config_of(const Gateway& gateway, int number, const std::string& mgmt) const;
     void write_config(const Gateway& gateway, int number, const std::string& mgmt) const;
     void start_process(int number, const std::string& mgmt);
-    Task await_ready(int number);
+    Task await_health(int number);  // and admits clients
+    Task await_ready(int number);   // after a start
     Task ask(std::string address, std::string request, unsigned& status, std::string& body);
     Task watch_lateness();
     Task watch_processes();
