Refuse at once what has less time left than two ticks

Cause: the module decides by a timer two ticks before the deadline; with less left than that the timer came behind the deadline on its grid, and the runtime's backstop answered 504 in the module's place, to requests that were never forwarded. Change: such a request is refused at once, as one that has expired.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -381,7 +381,10 @@
         if (r.request_class < 0 || r.request_class >= static_cast<int>(s_.classes.size()) ||
             r.plan >= static_cast<int>(s_.plans.size()) || requests_.count(r.id))
             return;
-        if (r.time_left <= 0us) return actions_->push_back(Refuse{r.id, 0us, EndCause::expired_on_arrival});
+        // Timers come on the grid of the tick: what has less left than two of them could not be answered in
+        // time.
+        if (r.time_left <= 2 * s_.tick)
+            return actions_->push_back(Refuse{r.id, 0us, EndCause::expired_on_arrival});
         if (handed_) return actions_->push_back(Refuse{r.id, 0us, EndCause::handed_over});
         Customer& c = customer(r);
         Request q;
