Press hosts in the soak, let connects hang, cut peers, and let troubles meet at one place

Hosts take six requests at a time and turn the rest away; connects may go where none comes up; all messages of a gateway may be lost; every second trouble comes where the one before came.

--- a/tools/fault_soak/gateway_process.cpp
+++ b/tools/fault_soak/gateway_process.cpp
@@ -70,6 +70,8 @@
     for (const int standard : {STDOUT_FILENO, STDERR_FILENO})
         posix_spawn_file_actions_addopen(&actions, standard, log_.c_str(), O_WRONLY | O_CREAT | O_APPEND,
                                          0644);
+    // What the soak has open must not live on in a gateway: a client that leaves would not be seen to.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     const int failed = posix_spawn(&id_, name.c_str(), &actions, nullptr, arguments, environment.data());
     posix_spawn_file_actions_destroy(&actions);
     if (failed != 0) throw std::runtime_error("can't start " + name);
--- a/tools/fault_soak/host_stub.cpp
+++ b/tools/fault_soak/host_stub.cpp
@@ -6,6 +6,7 @@
 
 namespace fault_soak {
 namespace {
+constexpr int most_at_work = 6;  // requests; more are turned away
 constexpr double usual_work_ms = 15, slow_work_ms = 400;
 constexpr Span hang_look = 20ms, late_second_answer = 5ms;
 constexpr Span idle_look = 50ms, idle_most = 3s;  // as the settings of the run have it
@@ -117,8 +118,14 @@
         says(Oracle::HostSays::never_ran);
         co_return co_await say(socket, head(503, "X-Never-Ran: 1\r\n", 0));
     }
+    if (at_work_ >= most_at_work) {
+        says(Oracle::HostSays::never_ran);
+        co_return co_await say(socket, head(503, "X-Never-Ran: 1\r\n", 0));
+    }
     std::exponential_distribution<double> work(1 / (mode_ == HostMode::slow ? slow_work_ms : usual_work_ms));
+    ++at_work_;
     co_await pause(io_, std::chrono::microseconds(static_cast<std::int64_t>(work(random_) * 1000)));
+    --at_work_;
     if (mode_ == HostMode::errors) {
         says(Oracle::HostSays::failed);
         co_return co_await say(socket, head(500, "", 0));
--- a/tools/fault_soak/host_stub.h
+++ b/tools/fault_soak/host_stub.h
@@ -54,6 +54,7 @@
     Task end_idle();
     std::vector<std::weak_ptr<Connection>> connections_;
     std::uint64_t served_ = 0;
+    int at_work_ = 0;
 };
 
 }  // namespace fault_soak
--- a/tools/fault_soak/main.cpp
+++ b/tools/fault_soak/main.cpp
@@ -86,6 +86,9 @@
         ->check(CLI::Range(1, 40))
         ->capture_default_str();
     app.add_option("--hosts", shape.hosts, "stand-ins")->check(CLI::Range(2, 40))->capture_default_str();
+    app.add_option("--clients", settings.options.clients, "of each gateway")
+        ->check(CLI::Range(1, 40))
+        ->capture_default_str();
     app.add_option("--at-once", shape.at_once, "troubles at a time, at most")
         ->check(CLI::Range(0, 20))
         ->capture_default_str();
--- a/tools/fault_soak/plan.cpp
+++ b/tools/fault_soak/plan.cpp
@@ -15,8 +15,8 @@
     "host_reset",      "host_errors",      "host_spoilt",     "host_slow",        "host_drops_idle",
     "link_silent",     "link_reset",       "link_late",       "discovery_silent", "discovery_refuses",
     "discovery_slow",  "discovery_whole",  "wall_clock_step", "short_io",         "interrupted_waits",
-    "failing_accepts", "failing_connects", "failing_files",   "lost_datagrams",   "bad_clients",
-    "clients_leave",   "operator_ban",     "operator_standby"};
+    "failing_accepts", "failing_connects", "failing_files",   "hanging_connects", "lost_datagrams",
+    "peers_cut",       "bad_clients",      "clients_leave",   "operator_ban",     "operator_standby"};
 
 Span between(Random& random, Span least, Span most) {
     return least +
@@ -41,6 +41,11 @@
         trouble.gateway = static_cast<int>(random() % static_cast<std::uint64_t>(shape.gateways));
         trouble.host = static_cast<int>(random() % static_cast<std::uint64_t>(shape.hosts));
         trouble.chance = random();
+        // Events that cross do so at one place.
+        if (!plan.empty() && random() % 2 == 0) {
+            trouble.gateway = plan.back().gateway;
+            trouble.host = plan.back().host;
+        }
         ends.push_back(at + trouble.length);
         plan.push_back(trouble);
     }
--- a/tools/fault_soak/plan.h
+++ b/tools/fault_soak/plan.h
@@ -41,7 +41,9 @@
     failing_accepts,
     failing_connects,
     failing_files,
+    hanging_connects,
     lost_datagrams,
+    peers_cut,    // a gateway's messages to others are all lost
     bad_clients,  // half requests, floods, lines without an end, bytes that are no request
     clients_leave,
     operator_ban,  // operators take a host out at one gateway, and put it back
--- a/tools/fault_soak/shim/fault_shim.cpp
+++ b/tools/fault_soak/shim/fault_shim.cpp
@@ -2,6 +2,7 @@
 // Linux documents, and the wall clock steps, as the control file says. Without that file nothing changes.
 #include <dlfcn.h>
 #include <fcntl.h>
+#include <netinet/in.h>
 #include <sys/epoll.h>
 #include <sys/mman.h>
 #include <sys/socket.h>
@@ -148,7 +149,11 @@
     static const auto real = next<int(int, const sockaddr*, socklen_t)>("connect");
     if (address->sa_family == AF_INET && happens(control().failing_connects))
         return fail(one_of({EADDRNOTAVAIL, ENETUNREACH, ENOBUFS, EAGAIN}));
-    return real(socket, address, length);
+    if (address->sa_family != AF_INET || !happens(control().hanging_connects))
+        return real(socket, address, length);
+    sockaddr_in nowhere = *reinterpret_cast<const sockaddr_in*>(address);
+    nowhere.sin_port = htons(static_cast<std::uint16_t>(control().black_hole_port));
+    return real(socket, reinterpret_cast<const sockaddr*>(&nowhere), sizeof nowhere);
 }
 int socket(int domain, int type, int protocol) {
     static const auto real = next<int(int, int, int)>("socket");
--- a/tools/fault_soak/soak.cpp
+++ b/tools/fault_soak/soak.cpp
@@ -9,13 +9,12 @@
 
 namespace fault_soak {
 namespace {
-constexpr int clients_of_a_gateway = 4;
 constexpr Span look_again = 20ms, health_again = 50ms, ready_most = 15s;
 // As at a planned restart of the platform: SIGKILL comes so long after SIGTERM.
 constexpr Span listener_stays = 300ms, kill_after_longest = 700ms, kill_margin = 100ms;
 constexpr Span upgrade_most = 6s, agent_closes_after = 1500ms, told_after_reload = 4s, told_after = 6s;
-constexpr Span answers_due = 2500ms;                            // after the last request, until all is judged
-constexpr std::uint32_t often = 300, seldom = 50, rarely = 20;  // thousandths of calls
+constexpr Span answers_due = 2500ms;  // after the last request, until all is judged
+constexpr std::uint32_t always = 1000, often = 300, seldom = 50;  // thousandths of calls
 constexpr std::int64_t an_hour = 3600;
 constexpr RuleTerms terms;
 
@@ -42,6 +41,7 @@
       oracle_(with_slack(options.slack), options.shape.gateways, options.shape.hosts),
       list_(options.shape.hosts),
       host_busy_(static_cast<std::size_t>(options.shape.hosts)),
+      black_hole_(io_),
       plan_(draw_plan(options.shape)),
       pushed_(options.shape.seed % 3 != 0) {
     mood_.slack = options.slack;
@@ -56,12 +56,25 @@
     }
     proxy_ = std::make_unique<FaultProxy>(io_, options.shape.gateways, endpoints);
     for (const auto& host : hosts_) host->use(*proxy_);
+    fill_black_hole();
     make_gateways();
-    for (int client = 0; client < clients_of_a_gateway * options.shape.gateways; ++client)
+    for (int client = 0; client < options.clients * options.shape.gateways; ++client)
         clients_.push_back(std::make_unique<Client>(
             io_, client, options.shape.seed * 7919 + static_cast<unsigned>(client), front_, mood_, oracle_));
 }
 
+// A listener that accepts none and whose queue is full: the kernel drops what asks for a connection.
+void Soak::fill_black_hole() {
+    constexpr int fillers = 4;
+    black_hole_.open(tcp::v4());
+    black_hole_.bind(any_port());
+    black_hole_.listen(0);
+    for (int i = 0; i < fillers; ++i) {
+        black_hole_fillers_.emplace_back(io_);
+        black_hole_fillers_.back().async_connect(black_hole_.local_endpoint(), [](error_code) {});
+    }
+}
+
 // ---- gateways ----
 
 void Soak::make_gateways() {
@@ -77,6 +90,7 @@
         gateway.config = gateway.folder / "config.json";
         std::filesystem::create_directories(gateway.folder);
         gateway.control = std::make_unique<MappedControl>(gateway.folder / "control");
+        (*gateway.control)->black_hole_port = black_hole_.local_endpoint().port();
         gateway.agent = std::make_unique<DiscoveryAgent>(
             io_, list_, proxy_->addresses_for(number),
             [this, number](Time of) { oracle_.told(number, of, Clock::now()); });
@@ -504,6 +518,12 @@
         case TroubleKind::failing_files:
             co_await with_shim(t.gateway, &ShimControl::failing_files, often, t.length);
             break;
+        case TroubleKind::hanging_connects:
+            co_await with_shim(t.gateway, &ShimControl::hanging_connects, often, t.length);
+            break;
+        case TroubleKind::peers_cut:
+            co_await with_shim(t.gateway, &ShimControl::lost_datagrams, always, t.length);
+            break;
         case TroubleKind::lost_datagrams:
             co_await with_shim(t.gateway, &ShimControl::lost_datagrams, often, t.length);
             break;
--- a/tools/fault_soak/soak.h
+++ b/tools/fault_soak/soak.h
@@ -23,6 +23,7 @@
     PlanShape shape;
     std::filesystem::path program, shim, folder;
     Span slack{100};  // for the machine's own lateness, on every limit of time
+    int clients = 4;  // of each gateway
     std::optional<TroubleKind> only;
     bool verbose = false;
 };
@@ -57,6 +58,7 @@
     };
 
     void make_gateways();
+    void fill_black_hole();
     std::string config_of(const Gateway& gateway, int number, const std::string& mgmt) const;
     void write_config(const Gateway& gateway, int number, const std::string& mgmt) const;
     void start_process(int number, const std::string& mgmt);
@@ -101,6 +103,8 @@
     std::vector<std::unique_ptr<HostStub>> hosts_;
     std::vector<bool> host_busy_;  // by a trouble
     std::unique_ptr<FaultProxy> proxy_;
+    tcp::acceptor black_hole_;  // its queue is full
+    std::vector<tcp::socket> black_hole_fillers_;
     std::vector<Gateway> gateways_;
     Front front_;
     ClientMood mood_;
