Add a failing test for restarts told by the first list after the known one

Found on reading the mend of slow start again: the list known at the start may be of any age, but counted as heard at that moment, so that a gateway that starts takes each host restarted over 30 s before for one that starts now.

--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -1139,6 +1139,31 @@
     shared.b.pass(11s);
     EXPECT_GT(shared.sent(400), warm * 3 / 4);
 }
+// The first list is the one known at the start, of any age: what the next one tells of starts in between is
+// no surprise.
+TEST(SlowStart, ARestartSinceTheKnownListIsBelieved) {
+    Settings s = one_gateway();
+    s.plans[0].rate = s.plans[0].burst = 1e6;
+    Bench b(s, {});
+    b.now += 3h;
+    Gateway fresh(s, 1, b.now);
+    b.gateway = std::move(fresh);
+    b.feed(HostsChanged{true, {host("a"), host("b")}});
+    HostEntry restarted = host("a");
+    restarted.started = b.now - 1h;
+    b.pass(100ms);
+    b.feed(HostsChanged{true, {restarted, host("b")}});
+    int to_a = 0;
+    for (RequestId id = 1; id <= 400; ++id) {
+        b.pass(10ms);
+        for (const SendAttempt& a : of<SendAttempt>(b.ask(id))) {
+            to_a += a.host == "a";
+            b.end(id, a.host, Outcome::good, 5ms);
+        }
+    }
+    EXPECT_GT(to_a, 150);
+}
+
 TEST(SlowStart, ARestartStampedInTheFutureIsNotColdForLonger) {
     SharedWithA shared(one_gateway());
     const int warm = shared.sent(400);
