Do not take the list known at the start for one heard just then

The first list sets no time for the belief in hosts' stamps; from the second on each does. The test fails without the mend and passes with it; 178 tests pass.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -935,7 +935,8 @@
         }
         if (e.whole_list)
             for (const std::string& name : gone_) note_warmth(hosts_.at(name));
-        lists_heard_at_ = now_;
+        // The first one is the list known at the start, of any age.
+        if (std::exchange(knows_a_list_, true)) lists_heard_at_ = now_;
         drop_gone();
         pump();
     }
@@ -1263,7 +1264,8 @@
         Micros told_start, left;
     };
     std::map<std::string, LeftHost> left_hosts_;  // lately
-    Micros lists_heard_at_{0};
+    Micros lists_heard_at_{0};                    // the latest, but for the one known at the start
+    bool knows_a_list_ = false;
     HostOrder<Host> order_{kept};
     WarmHosts<Host> warm_{warm_memory_s};
     Fading taken_in_;                   // messages
