--- a/tools/fault_soak/clients.cpp
+++ b/tools/fault_soak/clients.cpp
@@ -9,9 +9,10 @@
 namespace {
 constexpr double think_ms = 120;
 constexpr Span patience_after_deadline = 700ms, no_gateway_pause = 50ms;
-constexpr int own_gateway_in_ten = 8, customers = 20, one_in_pieces_of = 8, one_leaver_of = 3;
+constexpr int own_gateway_in_ten = 8, customers = 20, one_in_pieces_of = 8, one_leaver_of = 3,
+              one_leaver_always_of = 25;
 constexpr Span bad_client_owed = 3s;
-constexpr Span rest = 9900ms;
+constexpr Span rest = 9900ms, leaves_within = 60ms;
 constexpr int one_rest_of = 150, one_in_a_hurry_of = 25, hurry_ms = 30;
 constexpr std::size_t flood_bytes = std::size_t{4} << 20;
 
@@ -105,7 +106,7 @@
                   static_cast<int>(random_() % static_cast<std::uint64_t>(kind.most_ms - kind.least_ms));
     if (random_() % one_in_a_hurry_of == 0) wait_ms = 1 + wait_ms % hurry_ms;
     sent.deadline = Clock::now() + Span(wait_ms);
-    const bool metered = random_() % 4 == 0;
+    const bool metered = random_() % 2 == 0;
     std::string& text = sent.text;
     text.append(kind.method).append(" /api/").append(sent.trace).append(" HTTP/1.1\r\nHost: origin.svc\r\n");
     text.append("X-Trace-Id: ").append(sent.trace).append("\r\nX-Qos: ").append(kind.qos);
@@ -165,12 +166,13 @@
 }
 
 Task Client::await_answer(const Sent& request, bool& again) {
-    const bool leaves = mood_.leaves_early && random_() % one_leaver_of == 0;
+    const bool leaves = random_() % (mood_.leaves_early ? one_leaver_of : one_leaver_always_of) == 0;
     const Span left = std::chrono::duration_cast<Span>(request.deadline - Clock::now());
     const Time until =
         leaves && left > 10ms
             ? Clock::now() +
-                  Span(static_cast<std::int64_t>(random_() % static_cast<std::uint64_t>(left.count())))
+                  Span(static_cast<std::int64_t>(
+                      random_() % static_cast<std::uint64_t>(std::min(left, leaves_within).count())))
             : request.deadline + patience_after_deadline + mood_.slack;
     Watchdog watchdog(io_, socket_, until);
     http::response_parser<http::string_body> parser;
--- a/tools/fault_soak/soak.cpp
+++ b/tools/fault_soak/soak.cpp
@@ -118,7 +118,7 @@
         << R"("repeatWindowUs":)" << micros(terms.repeat_window) << R"(,"value":3},)"
         << R"({"name":"pay","effect":"fragile","deadlineUs":1200000,"promiseUs":600000,"value":4}],)"
         << R"("tiersOfService":[{"name":"open","rate":0,"mostAtOnce":0,"worthFactor":1},)"
-        << R"({"name":"metered","rate":20,"mostAtOnce":20,"maxOut":6,"worthFactor":1,"excessCost":0.5}],)"
+        << R"({"name":"metered","rate":8,"mostAtOnce":8,"maxOut":2,"worthFactor":1,"excessCost":0.5}],)"
         << R"("familyInfo":{"mailPerS":200,"unitsTop":3},"reporting":{"how":"inline","names":["outstanding","backlog"]},)"
         << R"("ceilings":{"cancel":true,"probes":true,"peers":true,"retryAfter":true,"maxAttempts":4,)"
         << R"("mayDuplicate":)" << (options_.shape.seed % 2 == 0 ? "true" : "false")
