Move the causes of ends and closes to a file of their own, and test the log

No behaviour changes: the enumerations and their names stood in the client server and the host pool, and the metrics needed both for them.

--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -51,32 +51,6 @@
 constexpr auto accept_again = 20ms;  // after an accept that failed for want of something
 }  // namespace
 
-const char* name_of(ClientClose cause) {
-    switch (cause) {
-        case ClientClose::client_left:
-            return "client_left";
-        case ClientClose::write_failed:
-            return "write_failed";
-        case ClientClose::answer_broken:
-            return "answer_broken";
-        case ClientClose::linger_over:
-            return "linger_over";
-        case ClientClose::stalled:
-            return "stalled";
-        case ClientClose::shortage:
-            return "shortage";
-        case ClientClose::flood:
-            return "flood";
-        case ClientClose::abandoned:
-            return "abandoned";
-        case ClientClose::handed_over:
-            return "handed_over";
-        case ClientClose::shut_down:
-            return "shut_down";
-    }
-    return "unknown";
-}
-
 // One client's connection. A read is always under way, so that a client that leaves is noticed at once.
 class ClientServer::Connection : public std::enable_shared_from_this<Connection> {
   public:
--- a/src/node/client_server.h
+++ b/src/node/client_server.h
@@ -14,6 +14,7 @@
 #include <unordered_map>
 
 #include "byte_budget.h"
+#include "causes.h"
 #include "clock.h"
 #include "handover.h"
 #include "http.h"
@@ -29,22 +30,6 @@
     ByteBudget::Room room;       // its body's
 };
 
-// Why a client's connection has ended.
-enum class ClientClose {
-    client_left,    // it closed, or its connection broke
-    write_failed,   // an answer could not be written
-    answer_broken,  // a long answer broke off at its host, and the client has to see that
-    linger_over,    // ended by this side after its last answer
-    stalled,        // it took nothing of its answer, or was silent, for too long
-    shortage,       // its place is needed for another
-    flood,          // it sent far more than a request behind one in hand
-    abandoned,      // a step of it failed in this program
-    handed_over,    // to the next process of an upgrade
-    shut_down,      // with this process
-};
-constexpr std::size_t client_closes = 10;
-const char* name_of(ClientClose cause);
-
 class ClientServer {
   public:
     struct Callbacks {
--- a/src/node/host_pool.cpp
+++ b/src/node/host_pool.cpp
@@ -28,52 +28,6 @@
 constexpr std::chrono::milliseconds idle_margin = 1s, sweep_period = 250ms;
 }  // namespace
 
-const char* name_of(HostOutcome outcome) {
-    switch (outcome) {
-        case HostOutcome::served:
-            return "served";
-        case HostOutcome::error:
-            return "error";
-        case HostOutcome::full:
-            return "full";
-        case HostOutcome::connect_failed:
-            return "connect_failed";
-        case HostOutcome::reset:
-            return "reset";
-        case HostOutcome::timeout:
-            return "timeout";
-        case HostOutcome::cancelled:
-            return "cancelled";
-        case HostOutcome::withdrawn:
-            return "withdrawn";
-        case HostOutcome::not_begun:
-            return "not_begun";
-    }
-    return "unknown";
-}
-
-const char* name_of(HostClose cause) {
-    switch (cause) {
-        case HostClose::exchange_failed:
-            return "exchange_failed";
-        case HostClose::not_kept:
-            return "not_kept";
-        case HostClose::idle_for_long:
-            return "idle_for_long";
-        case HostClose::host_ended_it:
-            return "host_ended_it";
-        case HostClose::host_leaving:
-            return "host_leaving";
-        case HostClose::shortage:
-            return "shortage";
-        case HostClose::handed_over:
-            return "handed_over";
-        case HostClose::shut_down:
-            return "shut_down";
-    }
-    return "unknown";
-}
-
 namespace {
 // Whether a connect failed by the own machine, for a moment: that says nothing of the host.
 bool is_local_failure(error_code ec) {
--- a/src/node/host_pool.h
+++ b/src/node/host_pool.h
@@ -13,6 +13,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "causes.h"
 #include "handover.h"
 #include "http.h"
 #include "socket_budget.h"
@@ -20,35 +21,6 @@
 
 namespace spartrack {
 
-enum class HostOutcome {
-    served,
-    error,           // answered, but not as it should: it may have run
-    full,            // turned away: never ran
-    connect_failed,  // broke before the request's last byte was written: never ran
-    reset,           // broke after that
-    timeout,
-    cancelled,
-    withdrawn,  // before its last byte was written: never ran
-    not_begun,  // the own machine had no place, port, route or descriptor for it: never ran, and no host's
-                // fault
-};
-
-const char* name_of(HostOutcome outcome);
-
-// Why a connection to a host has ended.
-enum class HostClose {
-    exchange_failed,  // by its outcome: a time-out, a cancel, a reset, an answer that can't be read
-    not_kept,         // its host ends it after the answer, or takes nothing new
-    idle_for_long,
-    host_ended_it,  // while it was idle: an end, or bytes that nobody asked for
-    host_leaving,   // the list or operators took its host out, or the host has moved
-    shortage,       // its place is needed for another
-    handed_over,    // to the next process of an upgrade
-    shut_down,      // with this process
-};
-constexpr std::size_t host_closes = 8;
-const char* name_of(HostClose cause);
-
 struct HostResult {
     HostOutcome outcome = HostOutcome::error;
     std::chrono::microseconds took{0};
--- a/src/node/metrics.h
+++ b/src/node/metrics.h
@@ -6,8 +6,7 @@
 #include <map>
 #include <string>
 
-#include "client_server.h"
-#include "host_pool.h"
+#include "causes.h"
 #include "silverreach/interface.h"
 #include "silverreach/rule_guard.h"
 
--- /dev/null
+++ b/tests/node/log_test.cpp
@@ -0,0 +1,66 @@
+// The log's lines: what they say, and which are written at all.
+#include "log.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+
+namespace spartrack::test {
+namespace {
+using namespace std::chrono_literals;
+
+struct LogTest : ::testing::Test {
+    ~LogTest() override { set_log_level(nullptr); }
+    template <class Write>
+    static std::string written(Write write) {
+        testing::internal::CaptureStderr();
+        write();
+        return testing::internal::GetCapturedStderr();
+    }
+};
+
+TEST_F(LogTest, ALineHasItsLevelItsEventAndQuotedValues) {
+    const std::string line = written([] {
+        LogLine(LogLevel::warning, "accept_failed")
+            .with("error", "Too many \"open\" files\n")
+            .with("count", 3)
+            .with("took", 1500us)
+            .with("host", "h1");
+    });
+    EXPECT_NE(line.find("level=warning mono="), std::string::npos) << line;
+    EXPECT_NE(
+        line.find(
+            "event=accept_failed error=\"Too many \\\"open\\\" files?\" count=3 took=1.500ms host=h1\n"),
+        std::string::npos)
+        << line;
+}
+
+TEST_F(LogTest, WhatIsBelowTheLevelIsNotWritten) {
+    const auto debug_line = [] { LogLine(LogLevel::debug, "attempt"); };
+    EXPECT_EQ(written(debug_line), "");
+    set_log_level("no such level");
+    EXPECT_EQ(written(debug_line), "");
+    set_log_level("debug");
+    EXPECT_NE(written(debug_line), "");
+    set_log_level("off");
+    EXPECT_EQ(written([] { LogLine(LogLevel::error, "anything"); }), "");
+}
+
+TEST_F(LogTest, LinesBeyondTheRateAreDroppedAndCounted) {
+    const std::string lines = written([] {
+        for (int i = 0; i < 5000; ++i) LogLine(LogLevel::info, "hosts_listed");
+    });
+    EXPECT_LT(std::count(lines.begin(), lines.end(), '\n'), 4000);
+    const std::string next = written([] {
+        const auto until = std::chrono::steady_clock::now() + 20ms;
+        while (std::chrono::steady_clock::now() < until) {
+        }
+        LogLine(LogLevel::info, "hosts_listed");
+    });
+    EXPECT_NE(next.find("lines_dropped="), std::string::npos) << next;
+}
+
+}  // namespace
+}  // namespace spartrack::test
