--- a/tools/fault_soak/host_stub.h
+++ b/tools/fault_soak/host_stub.h
@@ -29,8 +29,14 @@
         std::string trace;
         std::size_t attempt = 0;
     };
+    struct Connection {
+        explicit Connection(tcp::socket&& from) : socket(std::move(from)) {}
+        tcp::socket socket;
+        bool busy = false;
+        Time used = Clock::now();
+    };
     Task accept();
-    struct Connection;
+    Task end_idle();
     Task serve(std::shared_ptr<Connection> connection);
     Task answer(tcp::socket& socket, const Exchange& exchange);
     Task answer_spoilt(tcp::socket& socket, const Exchange& exchange);
@@ -45,13 +51,6 @@
     tcp::acceptor listener_;
     const FaultProxy* proxy_ = nullptr;
     HostMode mode_ = HostMode::serves;
-    struct Connection {
-        explicit Connection(tcp::socket&& from) : socket(std::move(from)) {}
-        tcp::socket socket;
-        bool busy = false;
-        Time used = Clock::now();
-    };
-    Task end_idle();
     std::vector<std::weak_ptr<Connection>> connections_;
     std::uint64_t served_ = 0;
     int at_work_ = 0;
--- a/tools/fault_soak/soak.cpp
+++ b/tools/fault_soak/soak.cpp
@@ -423,21 +423,37 @@
     co_await await_health(number);
 }
 
+Task Soak::with_agent(int gateway, bool AgentFaults::*fault, Span length) {
+    AgentFaults& faults = gateways_[static_cast<std::size_t>(gateway)].agent->faults;
+    faults.*fault = true;
+    co_await pause(io_, length);
+    faults.*fault = false;
+}
+Task Soak::short_io(int gateway, Span length) {
+    ShimControl& control = **gateways_[static_cast<std::size_t>(gateway)].control;
+    control.short_reads = often;
+    co_await with_shim(gateway, &ShimControl::short_writes, often, length);
+    control.short_reads = 0;
+}
+
+// Two troubles that would undo each other's state at one place are no crossing of events: the second one is
+// left out.
 Task Soak::play_trouble(Trouble t) {
     co_await pause(io_, t.at);
     Gateway& gateway = gateways_[static_cast<std::size_t>(t.gateway)];
-    const auto own_gateway = [&] {
-        return t.kind <= TroubleKind::gateway_pause || t.kind >= TroubleKind::operator_ban;
-    };
-    const auto own_host = [&] {
-        return t.kind >= TroubleKind::host_drain && t.kind <= TroubleKind::host_drops_idle;
-    };
-    // Two troubles that would undo each other's state at one place are no crossing of events.
-    if ((own_gateway() && gateway.changing) || (own_host() && host_busy_[static_cast<std::size_t>(t.host)]))
-        co_return;
-    if (own_gateway()) gateway.changing = true;
-    if (own_host()) host_busy_[static_cast<std::size_t>(t.host)] = true;
+    const auto host = static_cast<std::size_t>(t.host);
+    const bool changes_gateway = t.kind <= TroubleKind::gateway_pause || t.kind >= TroubleKind::operator_ban;
+    const bool changes_host = t.kind >= TroubleKind::host_drain && t.kind <= TroubleKind::host_drops_idle;
+    if ((changes_gateway && gateway.changing) || (changes_host && host_busy_[host])) co_return;
+    if (changes_gateway) gateway.changing = true;
+    if (changes_host) host_busy_[host] = true;
     if (options_.verbose) std::printf("%s\n", describe(t).c_str());
+    co_await carry_out(t);
+    if (changes_gateway) gateway.changing = false;
+    if (changes_host) host_busy_[host] = false;
+}
+
+Task Soak::carry_out(Trouble t) {
     switch (t.kind) {
         case TroubleKind::gateway_restart:
             co_await restart(t.gateway);
@@ -498,30 +514,20 @@
             break;
         case TroubleKind::discovery_refuses:
             // An agent that has pushed lists at hand turns nobody away.
-            gateway.agent->faults.refuses = !pushed_;
-            co_await pause(io_, t.length);
-            gateway.agent->faults.refuses = false;
+            if (!pushed_) co_await with_agent(t.gateway, &AgentFaults::refuses, t.length);
             break;
         case TroubleKind::discovery_slow:
-            gateway.agent->faults.slow = true;
-            co_await pause(io_, t.length);
-            gateway.agent->faults.slow = false;
+            co_await with_agent(t.gateway, &AgentFaults::slow, t.length);
             break;
         case TroubleKind::discovery_whole:
-            gateway.agent->faults.whole_lists = true;
-            co_await pause(io_, t.length);
-            gateway.agent->faults.whole_lists = false;
+            co_await with_agent(t.gateway, &AgentFaults::whole_lists, t.length);
             break;
         case TroubleKind::wall_clock_step:
             co_await wall_clock_step(t.gateway, t.chance % 2 == 0 ? an_hour : -an_hour, t.length);
             break;
-        case TroubleKind::short_io: {
-            ShimControl& control = **gateway.control;
-            control.short_reads = often;
-            co_await with_shim(t.gateway, &ShimControl::short_writes, often, t.length);
-            control.short_reads = 0;
+        case TroubleKind::short_io:
+            co_await short_io(t.gateway, t.length);
             break;
-        }
         case TroubleKind::interrupted_waits:
             co_await with_shim(t.gateway, &ShimControl::interrupted_waits, often, t.length);
             break;
@@ -556,8 +562,6 @@
             co_await operator_standby(t.gateway, t.length);
             break;
     }
-    if (own_gateway()) gateway.changing = false;
-    if (own_host()) host_busy_[static_cast<std::size_t>(t.host)] = false;
 }
 
 // ---- the run ----
--- a/tools/fault_soak/soak.h
+++ b/tools/fault_soak/soak.h
@@ -70,6 +70,7 @@
 
     Task play();
     Task play_trouble(Trouble trouble);
+    Task carry_out(Trouble trouble);
     Task restart(int number);
     Task kill(int number, Span down);
     Task upgrade(int number);
@@ -81,6 +82,8 @@
     Task host_mode(int host, HostMode mode, Span length);
     Task link_silent(int gateway, int host, Span length);
     Task link_late(int gateway, int host, Span late, Span length);
+    Task with_agent(int gateway, bool AgentFaults::*fault, Span length);
+    Task short_io(int gateway, Span length);
     Task discovery_silent(int gateway, Span length);
     Task with_shim(int gateway, std::atomic<std::uint32_t> ShimControl::*chance, std::uint32_t thousandths,
                    Span length);
