--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -461,13 +461,21 @@
         trace, bytes_ = bed.new_request(**kind)
         deadline_s = bed.deadline_ms[bed.sent[trace]["qos"]] / 1000
         try:
-            reader, writer = self.idle.pop() if self.idle else await asyncio.open_connection(
-                *self.gateway.address)
+            reader, writer, reused = self.take_idle() or await self.connect()
             writer.write(bytes_)
             bed.sent[trace]["at"] = bed.record.now()
             bed.record.write("client-sent", gateway=self.gateway.config["name"], trace=trace,
                              qos=bed.sent[trace]["qos"])
-            received = await asyncio.wait_for(read_message(reader), deadline_s + 0.55)
+            try:
+                received = await asyncio.wait_for(read_message(reader), deadline_s + 0.55)
+            except ConnectionError:
+                received = None
+            if received is None and reused:
+                # The request has crossed the end of a resting connection: it is sent once more.
+                reader, writer, _ = await self.connect()
+                writer.write(bytes_)
+                bed.record.write("client-sent-again", trace=trace)
+                received = await asyncio.wait_for(read_message(reader), deadline_s + 0.55)
             if received is None:
                 raise ConnectionResetError("closed without an answer")
         except (OSError, asyncio.TimeoutError) as error:
@@ -483,6 +491,18 @@
             self.idle.append((reader, writer))
         return trace
 
+    def take_idle(self):
+        while self.idle:
+            reader, writer = self.idle.pop()
+            if not reader.at_eof() and not writer.is_closing():
+                return reader, writer, True
+            writer.close()
+        return None
+
+    async def connect(self):
+        reader, writer = await asyncio.open_connection(*self.gateway.address)
+        return reader, writer, False
+
     async def run(self, per_second, seconds):
         """Sends requests at random times, `per_second` in the mean."""
         tasks, end = set(), time.monotonic() + seconds
