--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -35,6 +35,8 @@
         return time.monotonic() - self.started
 
     def write(self, event, **details):
+        if self.file.closed:  # the case is over
+            return
         text = " ".join(f"{key}={value}" for key, value in details.items())
         self.file.write(f"{self.now():10.4f} {event} {text}\n".rstrip() + "\n")
 
@@ -189,8 +191,8 @@
 
     def __init__(self, bed, name):
         self.bed, self.name, self.port = bed, name, 0
-        # The seconds between an answer's being due and its being written.
-        self.answer_delay_s = 0.0
+        # The seconds between the header of an answer, which is written at once, and its list.
+        self.list_delay_s = 0.0
 
     async def start(self):
         server = await asyncio.start_server(self.serve, "127.0.0.1", 0, backlog=512)
@@ -210,9 +212,12 @@
                 called_at = self.bed.record.now()
                 text = await self.list_text(int(start.group(1)) if start else None,
                                             int(hold.group(1)) / 1000 if hold else 0.0)
-                if self.answer_delay_s:
-                    await asyncio.sleep(self.answer_delay_s)
-                writer.write(message("HTTP/1.1 200 OK", [("Content-Type", "application/json")], text))
+                answer = message("HTTP/1.1 200 OK", [("Content-Type", "application/json")], text)
+                if self.list_delay_s:
+                    writer.write(answer[:-len(text)])
+                    await asyncio.sleep(self.list_delay_s)
+                    answer = text
+                writer.write(answer)
                 await writer.drain()
                 self.bed.record.write("discovery-answered", agent=self.name, path=path,
                                       called=f"{called_at:.4f}", rev=self.bed.rev)
