--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -18,6 +18,7 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+READ_BYTES = 4096
 
 
 class CouldNotRun(Exception):
@@ -57,9 +58,9 @@
             return port
 
 
-async def read_message(reader):
+async def read_message(reader, read_body=None):
     """Reads one HTTP message with a Content-Length. Returns (start line, headers, body), or None at the end
-    of the stream before its first byte."""
+    of the stream before its first byte. `read_body` reads the body of the given length."""
     try:
         head = await reader.readuntil(b"\r\n\r\n")
     except asyncio.IncompleteReadError as error:
@@ -74,7 +75,7 @@
             headers[name.strip().lower()] = value.strip()
     length = int(headers.get("content-length", "0"))
     try:
-        body = await reader.readexactly(length) if length else b""
+        body = await (read_body or reader.readexactly)(length) if length else b""
     except asyncio.IncompleteReadError as error:
         raise ConnectionResetError("the stream ended inside a message") from error
     return lines[0], headers, body
@@ -96,12 +97,31 @@
         self.work_s = lambda qos: bed.random.uniform(*bed.work_s[qos])
         # Called after an answer has been written; a case may send something more.
         self.after_answer = None
+        # The probability that a request ends in an error after it has run.
+        self.error_share = 0.0
+        # Returns the bytes a second at which the host reads a long body now; 0: as fast as it comes.
+        self.body_rate = lambda: 0
 
     async def start(self):
-        server = await asyncio.start_server(self.serve, "127.0.0.1", 0, backlog=512)
-        self.port = server.sockets[0].getsockname()[1]
+        # A small buffer, so that a byte that the host has not read has not come to it either.
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, READ_BYTES)
+        listener.bind(("127.0.0.1", 0))
+        server = await asyncio.start_server(self.serve, sock=listener, backlog=512, limit=READ_BYTES)
+        self.port = listener.getsockname()[1]
         self.bed.servers.append(server)
 
+    async def read_body(self, reader, length):
+        rate, body = self.body_rate(), b""
+        while len(body) < length:
+            piece = await reader.read(min(READ_BYTES, length - len(body)))
+            if not piece:
+                raise ConnectionResetError("the stream ended inside a message")
+            body += piece
+            if rate and length > READ_BYTES:
+                await asyncio.sleep(len(piece) / rate)
+        return body
+
     def entry(self):
         return {"uid": self.uid, "endpoint": f"127.0.0.1:{self.port}", "az": self.zone, "model": "std-2c",
                 "pod_group": self.cell, "state": self.state, "capacity_hint": 1.0, "boot_ms": self.boot_ms}
@@ -123,7 +143,9 @@
         first_byte_at = self.bed.record.now()
         if not first:
             return False
-        received = await read_message(_Prefixed(first, reader))
+        received = await read_message(_Prefixed(first, reader),
+                                      lambda length: self.read_body(reader, length))
+        last_byte_at = self.bed.record.now()
         start_line, headers, body = received
         method, path, _ = start_line.split(" ", 2)
         if path in ("/ping", "/_load"):
@@ -138,12 +160,18 @@
             writer.write(message("HTTP/1.1 400 Bad Request" if trace else "HTTP/1.1 404 Not Found", []))
             return True
         self.bed.record.write("host-received", host=self.uid, trace=trace, state=self.state,
-                              first_byte=f"{first_byte_at:.4f}")
+                              first_byte=f"{first_byte_at:.4f}", last_byte=f"{last_byte_at:.4f}")
         self.bed.on_received(self, trace, first_byte_at)
         if self.state != "ready":
             writer.write(message("HTTP/1.1 503 Service Unavailable", [("X-Never-Ran", "1")]))
             self.bed.record.write("host-turned-away", host=self.uid, trace=trace)
             return True
+        key = headers.get("idempotency-key")
+        if key and not self.bed.first_of_its_key(self, key, last_byte_at):
+            self.bed.record.write("host-dropped-repeat", host=self.uid, trace=trace)
+        else:
+            self.bed.record.write("host-runs", host=self.uid, trace=trace)
+            self.bed.runs.setdefault(trace, []).append((self.uid, last_byte_at))
         # Work stops when its request is cancelled, so the end of the connection is awaited as well.
         work = asyncio.ensure_future(asyncio.sleep(self.work_s(request["qos"])))
         closed = asyncio.ensure_future(reader.read(1))
@@ -157,6 +185,10 @@
             await closed
         except asyncio.CancelledError:
             pass
+        if self.bed.random.random() < self.error_share:
+            self.bed.record.write("host-answered", host=self.uid, trace=trace, status=500)
+            writer.write(message("HTTP/1.1 500 Internal Server Error", []))
+            return True
         made = self.bed.answer_body(self, trace)
         self.bed.made.setdefault(trace, set()).add(made)
         self.bed.record.write("host-answered", host=self.uid, trace=trace, status=200)
@@ -320,6 +352,7 @@
     # Seconds of work of one request, by class.
     work_s = {"skip-lookup": (0.024, 0.042), "booking-save": (0.053, 0.092), "invoice-issue": (0.082, 0.140)}
     deadline_ms = {"skip-lookup": 600, "booking-save": 3000, "invoice-issue": 2000}
+    repeat_window_ms = {"skip-lookup": 5000, "booking-save": 3000, "invoice-issue": 5000}
     limits = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
 
     def __init__(self, case_folder, seed):
@@ -331,11 +364,23 @@
         self._changed = None
         self.sent, self.made = {}, {}
         self.unknown_ids = 0
+        # For each request, the hosts that ran it and when its last byte had come there.
+        self.runs = {}
+        # For each cell, when each idempotency key came first.
+        self._keys = {}
         self.record.write("case", seed=seed, trouble=os.environ.get("TROUBLE", "1"))
 
     def on_received(self, host, trace, first_byte_at):
         """Called for each attempt that has come whole to a host."""
 
+    def first_of_its_key(self, host, key, now):
+        """The hosts of one cell drop a repeat for the time in the settings, and 50 ms longer."""
+        keys = self._keys.setdefault(host.cell, {})
+        if key in keys and now - keys[key] <= self.repeat_window_ms["booking-save"] / 1000 + 0.05:
+            return False
+        keys[key] = now
+        return True
+
     def answer_body(self, host, trace):
         return f"answer to {trace} by {host.uid}".encode()
 
@@ -396,10 +441,10 @@
 
     def settings(self, rank):
         """The settings of the example in WIRE, with the figures of the site file."""
-        def request_class(name, effect, value, promise_ms, scope, window_ms, late):
+        def request_class(name, effect, value, promise_ms, scope, late):
             return {"name": name, "effect": effect, "value": value, "dedupScope": scope, "lateWorth": late,
                     "deadlineUs": self.deadline_ms[name] * 1000, "promiseUs": promise_ms * 1000,
-                    "repeatWindowUs": window_ms * 1000, "stream": False}
+                    "repeatWindowUs": self.repeat_window_ms[name] * 1000, "stream": False}
 
         def plan(name, rate, burst, factor, cost, hard_rate=0.0, hard_burst=0.0, slack=0.0, out=0):
             return {"name": name, "rate": rate, "mostAtOnce": burst, "worthFactor": factor,
@@ -422,9 +467,9 @@
             "guarantees": {"answerSlackUs": 8000, "askWithinUs": 10000000, "coldUs": 14000000,
                            "fallUs": 1000000, "overloadFactor": 2.5, "startCapacity": 0.15,
                            "stopSendingWithinUs": 250000},
-            "requestClasses": [request_class("skip-lookup", "retryable", 1.0, 250, "all", 5000, 0.0),
-                               request_class("booking-save", "dedup", 5.0, 750, "cell", 3000, 0.2),
-                               request_class("invoice-issue", "fragile", 5.0, 800, "all", 5000, 0.0)],
+            "requestClasses": [request_class("skip-lookup", "retryable", 1.0, 250, "all", 0.0),
+                               request_class("booking-save", "dedup", 5.0, 750, "cell", 0.2),
+                               request_class("invoice-issue", "fragile", 5.0, 800, "all", 0.0)],
             "tiersOfService": [plan("basico", 2.0, 9.0, 0.8, 0.5),
                                plan("frota", 11.0, 31.0, 1.1, 0.8, 25.0, 68.0, 7.0, 2),
                                plan("completo", 50.0, 119.0, 1.6, 0.8)]}
