Fix a crash when the handling of one timeout changes another connection

Cause: ClientConnectionSet::handle_timeouts kept an iterator to the next connection of a list while it ran the timeout handler of the current one. That handler may change other connections. At the socket limit the connection to its host evicts the first newcomer; if that is the next connection in the list, its list node is freed and the iterator dangles. - The close of a client that reads its streamed response too slowly ends its attempt, and the consequences may answer the request of the next connection. If that response closes its connection, the connection moves to the other list, and the loop runs past the end of that one.

Change: the loops of the set (timeouts, close of idle connections, handover) select their connections first, hold shared pointers while the handlers run, and check the condition again before each handler. No iterator is held meanwhile. A closed connection is never overdue.

--- a/src/server/client_connection.cpp
+++ b/src/server/client_connection.cpp
@@ -392,7 +392,8 @@
 }
 
 // Shuts down the sending side and drops input until the client closes the connection. A close with unread
-// bytes would reset the connection, and the client could lose the response.
+// bytes, which may arrive even after a check that the connection is idle, would reset the connection, and the
+// client could lose the end of its last response.
 void ClientConnection::linger() {
     state_ = State::lingering;
     connections_.move_to_front(*this);
--- a/src/server/client_connection.h
+++ b/src/server/client_connection.h
@@ -86,20 +86,13 @@
     // Whether the client connected at `connected_by` or before, has sent nothing since that could be a
     // complete request, and is not being answered. A lingering connection also counts.
     [[nodiscard]] bool evictable_newcomer(Steady::time_point connected_by) const;
-    [[nodiscard]] bool overdue(Steady::time_point now) const { return now >= deadline_; }
+    // Whether the connection is not closed and its current deadline has been reached.
+    [[nodiscard]] bool overdue(Steady::time_point now) const {
+        return state_ != State::closed && now >= deadline_;
+    }
 
     // Handles the expiry of the connection's current deadline.
     void on_timeout();
-    // Closes the connection gracefully if it is idle and its client has received a response. A request may
-    // arrive between the idle check and the close; closing with unread bytes would reset the connection, and
-    // the client could lose the end of its last response. Therefore the connection lingers first.
-    void close_if_idle() {
-        if (idle_after_response()) linger();
-    }
-    // Hands the connection over to another process if it is between two requests.
-    void hand_over_if_possible() {
-        if (can_hand_over()) hand_over();
-    }
 
     // Writes the complete response to the request in flight.
     void respond(Answer&& answer);
--- a/src/server/client_connection_set.cpp
+++ b/src/server/client_connection_set.cpp
@@ -1,6 +1,8 @@
 #include "client_connection_set.h"
 
 #include <algorithm>
+#include <iterator>
+#include <vector>
 
 #include "client_connection.h"
 #include "containment.h"
@@ -78,41 +80,38 @@
     return true;
 }
 
+// Selects the connections before it runs any handler, because a handler may evict, close or move connections
+// other than its own: no iterator into a list is held meanwhile.
+template <class Condition, class Handler>
+void ClientConnectionSet::for_each_if(Condition condition, Handler handler) {
+    std::vector<std::shared_ptr<ClientConnection>> selected;
+    for (const Connections* list : {&newcomers_, &known_})
+        std::copy_if(list->begin(), list->end(), std::back_inserter(selected),
+                     [&](const auto& connection) { return condition(*connection); });
+    for (const auto& connection : selected)
+        if (condition(*connection)) handler(*connection);
+}
+
 // Also closes newcomers that have only sent health checks, because their clients would not close these
 // kept-alive connections by themselves.
 void ClientConnectionSet::close_idle() {
-    for_each([](ClientConnection& connection) { connection.close_if_idle(); });
+    for_each_if([](const ClientConnection& connection) { return connection.idle_after_response(); },
+                [](ClientConnection& connection) { connection.linger(); });
 }
 
 void ClientConnectionSet::hand_over() {
-    for_each([](ClientConnection& connection) { connection.hand_over_if_possible(); });
-}
-
-// `action` may move its connection to another list or remove it.
-template <class Action>
-void ClientConnectionSet::for_each(Action action) {
-    for (Connections* list : {&newcomers_, &known_})
-        for (auto entry = list->begin(); entry != list->end();) {
-            const auto connection = *entry++;
-            action(*connection);
-        }
+    for_each_if([](const ClientConnection& connection) { return connection.can_hand_over(); },
+                [](ClientConnection& connection) { connection.hand_over(); });
 }
 
 void ClientConnectionSet::handle_timeouts() {
-    handle_timeouts(newcomers_);
-    handle_timeouts(known_);
-}
-
-void ClientConnectionSet::handle_timeouts(Connections& list) {
     const auto now = Steady::now();
-    for (auto entry = list.begin(); entry != list.end();) {
-        // The handler below may remove the connection, so the iterator is advanced first.
-        const auto connection = *entry++;
-        if (!connection->overdue(now)) continue;
-        run_contained(
-            "client", [&] { connection->on_timeout(); },
-            [&] { connection->close(ClientCloseReason::internal_error); });
-    }
+    for_each_if([now](const ClientConnection& connection) { return connection.overdue(now); },
+                [](ClientConnection& connection) {
+                    run_contained(
+                        "client", [&] { connection.on_timeout(); },
+                        [&] { connection.close(ClientCloseReason::internal_error); });
+                });
 }
 
 void ClientConnectionSet::close_all(ClientCloseReason reason) {
--- a/src/server/client_connection_set.h
+++ b/src/server/client_connection_set.h
@@ -65,9 +65,10 @@
     static void add(Connections& list, const std::shared_ptr<ClientConnection>& connection);
     static void move(ClientConnection& connection, Connections& list, Connections::iterator before);
     bool evict_one_newcomer(Steady::duration min_age);
-    static void handle_timeouts(Connections& list);
-    template <class Action>
-    void for_each(Action action);
+    // Runs `handler` for each connection that fulfils `condition`, which has to be false for a closed one. A
+    // connection that no longer fulfils it after the earlier handlers have run is skipped.
+    template <class Condition, class Handler>
+    void for_each_if(Condition condition, Handler handler);
 
     Connections newcomers_;
     Connections known_;
