Add a failing test: a health check that is answered twice

A request that is sent on the same connection right after the first answer takes the second one for its response, and its client gets 200 with the body of a health check.

The test lets the second answer arrive while the request is in flight.

--- a/tests/server/host_pool_test.cpp
+++ b/tests/server/host_pool_test.cpp
@@ -222,6 +222,28 @@
     EXPECT_EQ(results[1].result.answer.body(), "own2");
 }
 
+// Regression: a host answered a health check twice, and a request that was sent in between on the same
+// connection was served with the second answer.
+TEST_F(HostPoolTest, ADuplicateHealthCheckResponseIsNotTakenForTheNextResponse) {
+    min_idle_time = 10s;
+    Server::Peer* request_peer = nullptr;
+    Server host(io, [&](auto& peer) {
+        if (peer.request.target() == "/_load") peer.ok("health");
+        else request_peer = &peer;
+    });
+    update_host(host.endpoint());
+    pool().check_health("h");
+    ASSERT_TRUE(run_until(io, [&] { return health_checks.size() == 1; }));
+    send(1);
+    ASSERT_TRUE(run_until(io, [&] { return request_peer != nullptr; }));
+    host.peers[0]->ok("health");
+    ASSERT_TRUE(run_until(io, [&] { return !results.empty() || host.peers[0]->closed; }));
+    ASSERT_TRUE(results.empty());
+    request_peer->ok("own");
+    ASSERT_TRUE(run_until(io, [&] { return results.size() == 1; }));
+    EXPECT_EQ(results[0].result.answer.body(), "own");
+}
+
 TEST_F(HostPoolTest, InterimResponsesAreSkippedUpToTheLimit) {
     const std::string interim = "HTTP/1.1 103 Early\r\nX: y\r\n\r\n";
     EXPECT_EQ(outcome([&](auto& peer) {
