End a retry whose request is not delivered within the deduplication window

Cause: RequestRules::check_retry looks at the moment of the decision and the connect timeout only. After that, nothing ended a retry when the window was over, and the close of a connection left the rest of the request to the kernel.

Change: the decision module passes the end of the window with SendAttempt (RequestRules::latest_delivery, delivery_timeout). When it is over, HostConnection asks the kernel whether the host's machine has acknowledged the request (SIOCOUTQ); if not, the attempt times out. Any end without a response resets a connection with such a limit if bytes are not acknowledged.

--- a/include/gateway/interface.h
+++ b/include/gateway/interface.h
@@ -12,6 +12,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -260,6 +261,9 @@
     std::string host;
     Micros timeout;  // time after which the attempt ends as Outcome::timeout; above 0
     AttemptReason reason = AttemptReason::first;
+    // Time within which the host has to receive the complete request; otherwise the attempt has to be
+    // aborted, so that the host never receives the rest. Above 0; empty: no limit.
+    std::optional<Micros> delivery_timeout = {};
 };
 // Completes the request with the promise that it was not executed, or that executing it again is harmless.
 struct RejectRequest {
--- a/include/gateway/request_rules.h
+++ b/include/gateway/request_rules.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -81,6 +82,11 @@
     // Whether an attempt at a host in the given zone and cell may begin now.
     [[nodiscard]] SendVerdict check_send(const RequestClass& request_class, const RequestHistory& history,
                                          const HostLocation& location, Micros now) const;
+    // The time by which the host of a further attempt has to receive the complete request, because from then
+    // on hosts may have forgotten the idempotency key of an earlier attempt that may have been executed.
+    // Empty if there is no such attempt, or if the class has no idempotency key.
+    [[nodiscard]] static std::optional<Micros> latest_delivery(const RequestClass& request_class,
+                                                               const RequestHistory& history);
     // Whether a rejection may promise that executing the request again is harmless.
     [[nodiscard]] static bool may_reject(const RequestClass& request_class, const RequestHistory& history);
 
--- a/src/decision/request_dispatch.cpp
+++ b/src/decision/request_dispatch.cpp
@@ -99,6 +99,8 @@
     request.queued = false;
     request.checking_health = false;
     request.health_check_rounds = 0;
+    const std::optional<Micros> latest_delivery =
+        RequestRules::latest_delivery(class_of(request), request.history);
     request.history.begin_attempt(request.history.count(), {host.entry.zone, host.entry.cell}, now);
     request.last_host = host.entry.host;
     request.last_sent_at = now;
@@ -106,9 +108,13 @@
     if (host.load.in_flight == 0) modules_.outliers.record_first_in_flight(host);
     modules_.load.record_sent(host, units);
     modules_.slow_start.record_sent(host, units);
-    const AttemptReason reason = std::exchange(request.next_reason, AttemptReason::retry);
-    const Micros timeout = std::max(request.deadline - now, 1us);
-    context_.emit(SendAttempt{request.arrival.id, host.entry.host, timeout, reason});
+    SendAttempt attempt;
+    attempt.id = request.arrival.id;
+    attempt.host = host.entry.host;
+    attempt.timeout = std::max(request.deadline - now, 1us);
+    attempt.reason = std::exchange(request.next_reason, AttemptReason::retry);
+    if (latest_delivery) attempt.delivery_timeout = std::max(*latest_delivery - now, 1us);
+    context_.emit(std::move(attempt));
     const Micros check_delay = modules_.outliers.silence_check_delay(objective_s(&request));
     context_.set_timer(check_delay, request.arrival.id, TimerKind::silence_check);
 }
--- a/src/decision/request_rules.cpp
+++ b/src/decision/request_rules.cpp
@@ -90,6 +90,18 @@
                : SendVerdict::outside_deduplication_scope;
 }
 
+std::optional<Micros> RequestRules::latest_delivery(const RequestClass& request_class,
+                                                    const RequestHistory& history) {
+    std::optional<Micros> latest;
+    if (request_class.idempotency != Idempotency::with_key) return latest;
+    for (const RequestHistory::Attempt& earlier : history.attempts()) {
+        if (earlier.not_executed) continue;
+        const Micros window_end = earlier.sent + request_class.deduplication_window;
+        latest = std::min(latest.value_or(window_end), window_end);
+    }
+    return latest;
+}
+
 bool RequestRules::may_reject(const RequestClass& request_class, const RequestHistory& history) {
     if (request_class.idempotency == Idempotency::idempotent || !history.may_have_run()) return true;
     return request_class.idempotency == Idempotency::with_key &&
--- a/src/server/host_connection.cpp
+++ b/src/server/host_connection.cpp
@@ -75,18 +75,20 @@
     return is_would_block(ec);
 }
 
-void HostConnection::send_attempt(const AttemptKey& key, Request& request,
-                                  std::chrono::microseconds timeout) {
+void HostConnection::send_attempt(const AttemptKey& key, Request& request, std::chrono::microseconds timeout,
+                                  std::optional<std::chrono::microseconds> delivery_timeout) {
     request.set(boost::beast::string_view(time_left_header.data(), time_left_header.size()), "0");
     serialize(request, request_buffer_);
     is_health_check_ = false;
     key_ = key;
+    delivery_deadline_ = delivery_timeout ? Steady::now() + *delivery_timeout : Steady::time_point::max();
     start_exchange(request.method() == http::verb::head, timeout);
 }
 
 void HostConnection::send_health_check(std::chrono::microseconds timeout) {
     request_buffer_ = "GET /_load HTTP/1.1\r\nHost: " + host_->uid + "\r\n\r\n";
     is_health_check_ = true;
+    delivery_deadline_ = Steady::time_point::max();
     start_exchange(false, timeout);
 }
 
@@ -97,7 +99,7 @@
     awaiting_resume_ = false;
     reader_.start(without_body);
     if (state_ == State::idle) {
-        set_deadline(deadline_);
+        set_deadline(std::min(deadline_, delivery_deadline_));
         return write();
     }
     state_ = State::connecting;
@@ -157,7 +159,7 @@
     socket_.async_connect(endpoint_, [self = shared_from_this()](error_code failed) {
         if (self->state_ != State::connecting) return;
         if (failed) return self->on_connect_failed(failed);
-        self->set_deadline(self->deadline_);
+        self->set_deadline(std::min(self->deadline_, self->delivery_deadline_));
         self->read();
         self->write();
     });
@@ -191,8 +193,18 @@
     if (state_ == State::connecting)
         finish_without_response(connect_failed_locally_ ? HostOutcome::not_started
                                                         : HostOutcome::connect_failed);
-    else if (state_ == State::writing || state_ == State::awaiting_response)
+    else if (state_ == State::writing || state_ == State::awaiting_response) {
+        const auto now = Steady::now();
+        if (now < deadline_ && now >= delivery_deadline_) return on_delivery_deadline();
         finish_without_response(HostOutcome::timeout);
+    }
+}
+
+void HostConnection::on_delivery_deadline() {
+    const bool delivered = state_ == State::awaiting_response && is_output_acknowledged(socket_);
+    if (!delivered) return finish_without_response(HostOutcome::timeout);
+    delivery_deadline_ = Steady::time_point::max();
+    set_deadline(deadline_);
 }
 
 void HostConnection::write(std::size_t written) {
@@ -287,6 +299,7 @@
 
 bool HostConnection::begin_streaming() {
     streaming_ = true;
+    delivery_deadline_ = Steady::time_point::max();
     time_to_stream_start_ = elapsed_since(phase_started_at_, Steady::now());
     HostResult result;
     result.outcome = HostOutcome::success;
@@ -317,11 +330,20 @@
 }
 
 void HostConnection::finish_without_response(HostOutcome outcome) {
+    if (delivery_deadline_ != Steady::time_point::max()) discard_undelivered_output();
     HostResult result;
     result.outcome = outcome;
     report_result(std::move(result), false);
 }
 
+// Lets the close reset the connection if the host's machine has not acknowledged everything. The kernel would
+// otherwise still send the rest of the request, which could arrive after the delivery deadline.
+void HostConnection::discard_undelivered_output() {
+    if (is_output_acknowledged(socket_)) return;
+    error_code ec;
+    socket_.set_option(asio::socket_base::linger(true, 0), ec);
+}
+
 void HostConnection::report_result(HostResult&& result, bool reusable) {
     const auto self = shared_from_this();
     owner_.on_exchange_ended(self);
--- a/src/server/host_connection.h
+++ b/src/server/host_connection.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -94,8 +95,11 @@
     [[nodiscard]] bool has_no_pending_input();
 
     // Sends the request and reports exactly one result, possibly before this function returns. Sets the
-    // request header that tells the host how much time is left.
-    void send_attempt(const AttemptKey& key, Request& request, std::chrono::microseconds timeout);
+    // request header that tells the host how much time is left. `delivery_timeout`: the time within which the
+    // host's machine has to receive the complete request; otherwise the attempt times out, and the host never
+    // receives the rest. Empty: no such limit.
+    void send_attempt(const AttemptKey& key, Request& request, std::chrono::microseconds timeout,
+                      std::optional<std::chrono::microseconds> delivery_timeout);
     // Sends a health check and reports exactly one result, possibly before this function returns.
     void send_health_check(std::chrono::microseconds timeout);
     // Ends the exchange with the outcome `cancelled`.
@@ -120,6 +124,8 @@
 
     void set_deadline(Steady::time_point when);
     void on_deadline();
+    // Aborts the attempt if the host's machine has not received the complete request.
+    void on_delivery_deadline();
 
     void write(std::size_t written = 0);
     void update_time_left_header();
@@ -134,6 +140,7 @@
 
     void finish_with_response();
     void finish_without_response(HostOutcome outcome);
+    void discard_undelivered_output();
     void report_result(HostResult&& result, bool reusable);
     void become_idle(Steady::time_point now);
     void close_idle();
@@ -158,6 +165,9 @@
     // Start of the exchange, or of the idle time if the connection is idle.
     Steady::time_point phase_started_at_;
     Steady::time_point deadline_;  // of the exchange, until its response is streamed
+    // By when the host's machine has to receive the complete request; the maximum value: no limit, or
+    // received.
+    Steady::time_point delivery_deadline_ = Steady::time_point::max();
     State state_ = State::fresh;
 };
 
--- a/src/server/host_pool.cpp
+++ b/src/server/host_pool.cpp
@@ -183,11 +183,12 @@
 }
 
 void HostPool::attempt(const AttemptKey& key, const std::string& uid, Request& message,
-                       std::chrono::microseconds timeout) {
+                       std::chrono::microseconds timeout,
+                       std::optional<std::chrono::microseconds> delivery_timeout) {
     HostResult not_sent;
     const auto connection = acquire(uid, not_sent.outcome);
     if (!connection) return callbacks_.on_attempt_result(key, uid, std::move(not_sent));
-    connection->send_attempt(key, message, timeout);
+    connection->send_attempt(key, message, timeout, delivery_timeout);
 }
 
 void HostPool::check_health(const std::string& uid) {
--- a/src/server/host_pool.h
+++ b/src/server/host_pool.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -58,9 +59,11 @@
     // Bans a host or lifts its ban, as operators request. Ends the attempts at a banned host if their request
     // is unsent. Endpoint lists do not lift a ban.
     void ban(const std::string& uid, bool banned);
-    // Sends the request to the host. The attempt times out after `timeout`.
+    // Sends the request to the host. The attempt times out after `timeout`, or after `delivery_timeout` if
+    // the host's machine has not received the complete request by then; empty: no such limit.
     void attempt(const AttemptKey& key, const std::string& uid, Request& message,
-                 std::chrono::microseconds timeout);
+                 std::chrono::microseconds timeout,
+                 std::optional<std::chrono::microseconds> delivery_timeout = {});
     // Ends the attempt with the outcome `cancelled`. Does nothing if the attempt is not in flight.
     void cancel(const AttemptKey& key);
     // Ends the attempts of the request that are unsent, with the outcome `withdrawn`.
--- a/src/server/request_handler.cpp
+++ b/src/server/request_handler.cpp
@@ -195,7 +195,8 @@
     metrics_.attempt_begun(action.reason);
     ++request->attempts_in_flight;
     pool_.attempt({action.id, attempt}, action.host, request->message,
-                  action.timeout > 0us ? std::min(action.timeout, time_left) : time_left);
+                  action.timeout > 0us ? std::min(action.timeout, time_left) : time_left,
+                  action.delivery_timeout);
 }
 
 void RequestHandler::report_not_sent(const decision::SendAttempt& action, int attempt, bool answered) {
--- a/tests/decision/retry_test.cpp
+++ b/tests/decision/retry_test.cpp
@@ -67,6 +67,26 @@
     }
 }
 
+// A retry that begins within the deduplication window may arrive after it, because its host may read slowly.
+TEST(Attempts, ARetryOfARequestWithAKeyHasToBeDeliveredWithinTheWindow) {
+    Settings settings = single_gateway_settings();
+    settings.classes[0].idempotency = Idempotency::with_key;
+    settings.classes[0].deduplication_window = 400ms;
+    settings.may_hedge = false;
+    for (const Outcome outcome : {Outcome::reset, Outcome::rejected}) {
+        ClockedGateway gateway(settings);
+        const auto first = actions_of<SendAttempt>(gateway.request(1));
+        ASSERT_EQ(first.size(), 1u);
+        EXPECT_EQ(first[0].delivery_timeout, std::nullopt);
+        gateway.now += 100ms;
+        const auto retries = actions_of<SendAttempt>(gateway.end_attempt(1, first[0].host, outcome, 100ms));
+        ASSERT_EQ(retries.size(), 1u);
+        // A rejected attempt was not executed, so its retry can be executed at any time.
+        const auto expected = outcome == Outcome::reset ? std::optional<Micros>(300ms) : std::nullopt;
+        EXPECT_EQ(retries[0].delivery_timeout, expected);
+    }
+}
+
 TEST(Attempts, ANonIdempotentRequestIsNotRetriedOnceItMayHaveRun) {
     Settings settings = single_gateway_settings();
     settings.classes[0].idempotency = Idempotency::not_idempotent;
--- a/tests/server/host_pool_test.cpp
+++ b/tests/server/host_pool_test.cpp
@@ -51,6 +51,21 @@
         message.set("X-Trace-Id", trace.append(std::to_string(id)));
         pool().attempt({id, 0}, "h", message, timeout);
     }
+    // Sends the first attempt of a request with a body, which the host has to receive within
+    // `delivery_timeout`.
+    void send_body(std::uint64_t id, std::size_t body_bytes, std::chrono::microseconds delivery_timeout) {
+        Request message(http::verb::post, "/api", 11);
+        message.set("X-Trace-Id", "t");
+        message.body().assign(body_bytes, 'x');
+        message.prepare_payload();
+        pool().attempt({id, 0}, "h", message, 15s, delivery_timeout);
+    }
+    // Runs the event loop for `span`. Returns whether more than `ended` attempts have ended.
+    bool run_for(std::chrono::milliseconds span, std::size_t ended = 0) {
+        const auto until = Steady::now() + span;
+        EXPECT_TRUE(run_until(io, [&] { return Steady::now() >= until; }));
+        return results.size() > ended;
+    }
     // Returns the outcome of one attempt at a host with this handler.
     HostOutcome outcome(Server::Handler handler, std::chrono::microseconds timeout = 15s) {
         Server host(io, std::move(handler));
@@ -254,6 +269,59 @@
     EXPECT_EQ(results[0].result.answer.body(), "own");
 }
 
+// Regression: nothing ended a retry whose host still read the request when the deduplication window was over,
+// so that hosts executed a request with an idempotency key twice.
+TEST_F(HostPoolTest, ARequestThatIsNotDeliveredInTimeNeverArrivesCompletely) {
+    constexpr std::size_t long_body_bytes = std::size_t{4} << 20;
+    struct Case {
+        std::size_t body_bytes;
+        bool cancelled;
+    };
+    for (const auto& [body_bytes, cancelled] : {Case{60'000, false}, Case{long_body_bytes, false},
+                                                Case{60'000, true}, Case{long_body_bytes, true}}) {
+        tcp::acceptor listener(io);
+        listener.open(tcp::v4());
+        listener.set_option(asio::socket_base::receive_buffer_size(4096));
+        listener.bind(any_port());
+        listener.listen();
+        update_host(listener.local_endpoint());
+        const std::size_t before = results.size();
+        send_body(before + 1, body_bytes, cancelled ? 10s : 100ms);
+        tcp::socket host = listener.accept();
+        if (cancelled) {
+            EXPECT_FALSE(run_for(50ms, before));
+            pool().cancel({before + 1, 0});
+        }
+        ASSERT_TRUE(run_until(io, [&] { return results.size() > before; }));
+        EXPECT_EQ(results.back().result.outcome, cancelled ? HostOutcome::cancelled : HostOutcome::timeout);
+        EXPECT_GE(results.back().result.elapsed, cancelled ? 50ms : 100ms);
+        EXPECT_LT(results.back().result.elapsed, 5s);
+        std::string received;
+        error_code ec;
+        asio::read(host, asio::dynamic_buffer(received), ec);
+        EXPECT_EQ(ec, asio::error::connection_reset);
+        EXPECT_LT(received.size(), body_bytes);
+    }
+}
+
+TEST_F(HostPoolTest, ARequestThatIsDeliveredInTimeMayBeAnsweredLater) {
+    tcp::acceptor listener(io, any_port());
+    update_host(listener.local_endpoint());
+    send_body(1, 60'000, 100ms);
+    tcp::socket host = listener.accept();
+    host.non_blocking(true);
+    std::string received;
+    error_code ec;
+    ASSERT_TRUE(run_until(io, [&] {
+        asio::read(host, asio::dynamic_buffer(received), ec);
+        return received.ends_with("xx") && received.size() > 60'000;
+    }));
+    EXPECT_FALSE(run_for(300ms));
+    asio::write(host, asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")));
+    ASSERT_TRUE(run_until(io, [&] { return !results.empty(); }));
+    EXPECT_EQ(results[0].result.outcome, HostOutcome::success);
+}
+
 TEST_F(HostPoolTest, InterimResponsesAreSkippedUpToTheLimit) {
     const std::string interim = "HTTP/1.1 103 Early\r\nX: y\r\n\r\n";
     EXPECT_EQ(outcome([&](auto& peer) {
