Wait out the minimum idle time between a health check and the next request

Cause: HostConnection::idle_since_before exempted a connection whose last exchange was a health check from the 10 ms between two requests, on the assumption that no second response can follow there. The second response was then read as the response to the request that followed at once.

Change: such a connection is still reused if no rested one is idle, but its next exchange waits until the 10 ms are over before it writes (state resting). Input meanwhile ends the attempt as not sent, and it may be sent again. A request that follows a health check is thereby written up to 10 ms later.

--- a/src/server/host_connection.cpp
+++ b/src/server/host_connection.cpp
@@ -58,11 +58,13 @@
 
 HostConnection::HostConnection(asio::io_context& io, HostConnectionOwner& owner,
                                std::shared_ptr<PooledHost> host, SocketBudget::Slot&& slot,
-                               std::chrono::microseconds connect_timeout)
+                               std::chrono::microseconds connect_timeout,
+                               std::chrono::microseconds min_idle_time)
     : owner_(owner),
       host_(std::move(host)),
       endpoint_(host_->endpoint),
       connect_timeout_(connect_timeout),
+      min_idle_time_(min_idle_time),
       slot_(std::move(slot)),
       socket_(io),
       deadline_timer_(io),
@@ -93,11 +95,16 @@
 }
 
 void HostConnection::start_exchange(bool without_body, std::chrono::microseconds timeout) {
+    const auto earliest_write = rested_at();
     phase_started_at_ = Steady::now();
     deadline_ = phase_started_at_ + timeout;
     streaming_ = false;
     awaiting_resume_ = false;
     reader_.start(without_body);
+    if (state_ == State::idle && earliest_write > phase_started_at_) {
+        state_ = State::resting;
+        return set_deadline(std::min(deadline_, earliest_write));
+    }
     if (state_ == State::idle) {
         set_deadline(std::min(deadline_, delivery_deadline_));
         return write();
@@ -190,6 +197,7 @@
 }
 
 void HostConnection::on_deadline() {
+    if (state_ == State::resting) return on_rested();
     if (state_ == State::connecting)
         finish_without_response(connect_failed_locally_ ? HostOutcome::not_started
                                                         : HostOutcome::connect_failed);
@@ -200,6 +208,13 @@
     }
 }
 
+void HostConnection::on_rested() {
+    if (Steady::now() >= deadline_ || !has_no_pending_input())
+        return finish_without_response(HostOutcome::withdrawn);
+    set_deadline(std::min(deadline_, delivery_deadline_));
+    write();
+}
+
 void HostConnection::on_delivery_deadline() {
     const bool delivered = state_ == State::awaiting_response && is_output_acknowledged(socket_);
     if (!delivered) return finish_without_response(HostOutcome::timeout);
@@ -255,6 +270,8 @@
     std::size_t bytes = 0;
     if (!ec) bytes = socket_.read_some(reader_.prepare(streaming_), ec);
     if (is_would_block(ec)) return read();
+    // A second response to the last request, unrequested bytes, or the end of the stream.
+    if (state_ == State::resting) return finish_without_response(HostOutcome::withdrawn);
     if (state_ == State::idle) return close_idle();  // end of stream, error or unrequested bytes
     const bool awaiting_response = state_ == State::awaiting_response;
     if (ec == asio::error::eof && awaiting_response && reader_.finish_at_end_of_stream())
--- a/src/server/host_connection.h
+++ b/src/server/host_connection.h
@@ -66,8 +66,11 @@
 // never reused after a timeout, a cancellation or unexpected input.
 class HostConnection : public std::enable_shared_from_this<HostConnection> {
   public:
+    // `min_idle_time`: the time between the response to a request and the next request. Input during this
+    // time closes the connection, because it would be taken for the response to the next request.
     HostConnection(boost::asio::io_context& io, HostConnectionOwner& owner, std::shared_ptr<PooledHost> host,
-                   SocketBudget::Slot&& slot, std::chrono::microseconds connect_timeout);
+                   SocketBudget::Slot&& slot, std::chrono::microseconds connect_timeout,
+                   std::chrono::microseconds min_idle_time);
 
     [[nodiscard]] const std::shared_ptr<PooledHost>& host() const { return host_; }
     // The address that the connection was made to. The host may have moved to another address since.
@@ -81,14 +84,13 @@
     }
     // Whether the request has not been written completely, so that the host can't have executed it.
     [[nodiscard]] bool request_unsent() const {
-        return state_ == State::connecting || state_ == State::writing;
-    }
-    // Whether the connection became idle at `time` or earlier. Always true if the last exchange was a health
-    // check: a host answers a health check independently of its other work and only once, so that no second
-    // response can follow.
-    [[nodiscard]] bool idle_since_before(Steady::time_point time) const {
-        return is_health_check_ || phase_started_at_ <= time;
+        return state_ == State::connecting || state_ == State::resting || state_ == State::writing;
     }
+    // Whether the next exchange can be written at once, because the connection has been idle for the minimum
+    // idle time. Requires that it is idle.
+    [[nodiscard]] bool rested(Steady::time_point now) const { return now >= rested_at(); }
+    // Whether the last exchange was a health check. Hosts answer these beside their other work.
+    [[nodiscard]] bool last_was_health_check() const { return is_health_check_; }
     // Whether the socket has no unread bytes and the host has not closed the connection. Checks the socket
     // itself, because surplus bytes of an earlier response or an end of stream may have arrived although no
     // handler has run yet. Such bytes would be taken for the response to the next request.
@@ -116,12 +118,23 @@
     void close(HostCloseReason reason);
 
   private:
-    enum class State { fresh, connecting, writing, awaiting_response, idle, closed };
+    enum class State {
+        fresh,
+        connecting,
+        // An exchange has begun, and its request is written once the minimum idle time is over.
+        resting,
+        writing,
+        awaiting_response,
+        idle,
+        closed,
+    };
 
     void start_exchange(bool without_body, std::chrono::microseconds timeout);
     void connect();
     void on_connect_failed(boost::system::error_code failure);
 
+    [[nodiscard]] Steady::time_point rested_at() const { return phase_started_at_ + min_idle_time_; }
+    void on_rested();
     void set_deadline(Steady::time_point when);
     void on_deadline();
     // Aborts the attempt if the host's machine has not received the complete request.
@@ -149,6 +162,7 @@
     const std::shared_ptr<PooledHost> host_;
     const boost::asio::ip::tcp::endpoint endpoint_;
     const std::chrono::microseconds connect_timeout_;
+    const std::chrono::microseconds min_idle_time_;
     SocketBudget::Slot slot_;
     boost::asio::ip::tcp::socket socket_;
     boost::asio::steady_timer deadline_timer_;
--- a/src/server/host_pool.cpp
+++ b/src/server/host_pool.cpp
@@ -157,15 +157,24 @@
     return connection;
 }
 
-// Returns the most recently used connection that has been idle for the minimum idle time, or null. A host may
-// send a second response to a request some milliseconds after the first. If the next request were written
-// immediately, the second response would be taken for the response to that request. The minimum idle time
-// costs one or two additional connections to a busy host.
+// Returns the most recently used connection that has been idle for the minimum idle time. If there is none,
+// returns one whose last exchange was a health check, which waits out that time before it writes: a request
+// often follows a health check immediately, and a further connection would cost the host more than the wait
+// costs the request. Returns null if there is none either. A host may send a second response some
+// milliseconds after the first. If the next request were written immediately, the second response would be
+// taken for the response to that request.
 HostPool::ConnectionPointer HostPool::take_idle(PooledHost& host) {
+    const auto now = Steady::now();
+    auto connection = take_idle_if(host, [now](const HostConnection& idle) { return idle.rested(now); });
+    if (connection) return connection;
+    return take_idle_if(host, [](const HostConnection& idle) { return idle.last_was_health_check(); });
+}
+
+template <class Condition>
+HostPool::ConnectionPointer HostPool::take_idle_if(PooledHost& host, Condition condition) {
     auto& idle = host.idle_connections;
-    const auto idle_before = Steady::now() - min_idle_time_;
     for (auto position = idle.size(); position-- > 0;) {
-        if (!idle[position]->idle_since_before(idle_before)) continue;
+        if (!condition(*idle[position])) continue;
         auto candidate = std::move(idle[position]);
         idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(position));
         if (candidate->has_no_pending_input()) return candidate;
@@ -179,7 +188,8 @@
     auto slot = budget_.acquire(SocketBudget::Side::host);
     if (!slot) return nullptr;
     HostConnectionOwner& owner = *this;
-    return std::make_shared<HostConnection>(io_, owner, host, std::move(*slot), connect_timeout_);
+    return std::make_shared<HostConnection>(io_, owner, host, std::move(*slot), connect_timeout_,
+                                            min_idle_time_);
 }
 
 void HostPool::attempt(const AttemptKey& key, const std::string& uid, Request& message,
--- a/src/server/host_pool.h
+++ b/src/server/host_pool.h
@@ -45,7 +45,7 @@
     };
 
     // `host_idle_timeout`: the time after which hosts close idle connections. `min_idle_time`: the time that
-    // a connection stays idle before it is reused.
+    // a connection stays idle before the next request is written.
     HostPool(boost::asio::io_context& io, SocketBudget& budget, std::chrono::microseconds connect_timeout,
              std::chrono::microseconds host_idle_timeout, Callbacks callbacks,
              std::chrono::microseconds min_idle_time = std::chrono::milliseconds(10));
@@ -106,7 +106,9 @@
     void end_unsent(HostOutcome outcome, Predicate predicate);
     ConnectionPointer connection_of(const AttemptKey& key) const;
     ConnectionPointer acquire(const std::string& uid, HostOutcome& failure);
-    ConnectionPointer take_idle(PooledHost& host);
+    static ConnectionPointer take_idle(PooledHost& host);
+    template <class Condition>
+    static ConnectionPointer take_idle_if(PooledHost& host, Condition condition);
     ConnectionPointer make_connection(const std::shared_ptr<PooledHost>& host);
     bool evict_one_idle();
     void close_expired_idle();
