--- a/review/lib-2/testbed.py
+++ b/review/lib-2/testbed.py
@@ -228,7 +228,7 @@
             return True
         spoilt = self.spoil(request) if self.spoil else None
         await asyncio.sleep(self.random.uniform(*self.work))
-        self.record.line(self.uid, "ran trace %s" % trace)
+        self.record.line(self.uid, "done with trace %s" % trace)
         if spoilt:
             return await spoilt(writer, trace)
         writer.write(self.answer(trace))
