--- a/review/lib-2/testbed.py
+++ b/review/lib-2/testbed.py
@@ -572,26 +572,33 @@
             on_result(trace, kind, result)
 
 
+def end_unrun(kind, error, trace):
+    """An error of the case itself says nothing about the rule. Python's own status for it would be 1."""
+    sys.__excepthook__(kind, error, trace)
+    os._exit(NO_RUN)
+
+
+sys.excepthook = end_unrun
+
+
 def main(folder, make, play, limit=115.0):
     """Runs a case and ends with its verdict: 1 the rule was broken, 0 it held, 2 the case could not run."""
 
     async def run():
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
         case = make(folder)
         try:
             await case.start()
             return await asyncio.wait_for(play(case), limit - case.record.now())
-        except (CannotRun, asyncio.TimeoutError) as error:
+        except (CannotRun, asyncio.TimeoutError, asyncio.CancelledError) as error:
             case.record.line("case", "could not run: %r" % error)
             print("could not run: %r" % error)
             return NO_RUN
         finally:
             await case.stop()
 
-    try:
-        verdict = asyncio.run(run())
-    except Exception as error:  # a fault of the case itself says nothing about the rule
-        print("could not run: %r" % error)
-        verdict = NO_RUN
+    verdict = asyncio.run(run())
     print({HELD: "the rule held", BROKEN: "THE RULE WAS BROKEN", NO_RUN: "the case could not run"}[verdict])
     sys.stdout.flush()
     os._exit(verdict)  # skips the destructors of open streams, which only print noise
