--- a/review/lib-2/testbed.py
+++ b/review/lib-2/testbed.py
@@ -16,6 +16,7 @@
 import sys
 import tempfile
 import time
+from email.utils import formatdate
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 HELD, BROKEN, NO_RUN = 0, 1, 2
@@ -101,12 +102,14 @@
 
 
 class Agent:
-    """Discovery's agent on one gateway's machine. `delay`: how late it writes each answer. `silent`: it takes
+    """Discovery's agent on one gateway's machine. `delay`: how late it writes each answer. `pieces`: the bytes of
+    each piece of an answer and the seconds between two pieces; None: an answer comes at once. `silent`: it takes
     calls and answers none."""
 
     def __init__(self, record, name, catalog):
         self.record, self.name, self.catalog = record, name, catalog
         self.delay = 0.0
+        self.pieces = None
         self.silent = False
         self.server = None
         self.address = None
@@ -140,9 +143,9 @@
                 body = json.dumps(answer).encode()
                 if writer.is_closing() or reader.at_eof():
                     raise ConnectionError
-                writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s"
-                             % (len(body), body))
-                await writer.drain()
+                await self.write(writer, b"HTTP/1.1 200 OK\r\nDate: %s\r\nContent-Type: application/json\r\n"
+                                 b"Cache-Control: no-store\r\nContent-Length: %d\r\n\r\n%s"
+                                 % (formatdate(usegmt=True).encode(), len(body), body))
                 self.answered += 1
                 if rev is None or answer["targets"]:
                     self.record.line(self.name, "answered %s: rev %d, all %s, %s" % (
@@ -154,6 +157,17 @@
             writer.close()
 
 
+    async def write(self, writer, text):
+        size, pause = self.pieces or (len(text), 0)
+        for start in range(0, len(text), size):
+            if start:
+                await asyncio.sleep(pause)
+            if writer.is_closing():
+                raise ConnectionError
+            writer.write(text[start:start + size])
+            await writer.drain()
+
+
 class Message:
     """A parsed head of a request or an answer."""
 
