Discard the bodies of error responses, which filled the memory

Callers saw gateways killed for memory: a host that answered 500 with a body that never ended took each of them over its limit within two seconds.

Cause: HostConnection streams only responses with status 200. The body of any other was gathered up to 32 MiB for each attempt, although nobody uses it. On the same path a health check's long response with status 200 was streamed with the key of the attempt that the connection had carried before.

--- a/src/server/host_connection.cpp
+++ b/src/server/host_connection.cpp
@@ -84,23 +84,24 @@
     is_health_check_ = false;
     key_ = key;
     delivery_deadline_ = delivery_timeout ? Steady::now() + *delivery_timeout : Steady::time_point::max();
-    start_exchange(request.method() == http::verb::head, timeout);
+    const auto body = owner_.streams_responses() ? ExpectedBody::streamable : ExpectedBody::buffered;
+    start_exchange(request.method() == http::verb::head ? ExpectedBody::none : body, timeout);
 }
 
 void HostConnection::send_health_check(std::chrono::microseconds timeout) {
     request_buffer_ = "GET /_load HTTP/1.1\r\nHost: " + host_->uid + "\r\n\r\n";
     is_health_check_ = true;
     delivery_deadline_ = Steady::time_point::max();
-    start_exchange(false, timeout);
+    start_exchange(ExpectedBody::buffered, timeout);
 }
 
-void HostConnection::start_exchange(bool without_body, std::chrono::microseconds timeout) {
+void HostConnection::start_exchange(ExpectedBody body, std::chrono::microseconds timeout) {
     const auto earliest_write = rested_at();
     phase_started_at_ = Steady::now();
     deadline_ = phase_started_at_ + timeout;
     streaming_ = false;
     awaiting_resume_ = false;
-    reader_.start(without_body);
+    reader_.start(body);
     if (state_ == State::idle && earliest_write > phase_started_at_) {
         state_ = State::resting;
         return set_deadline(std::min(deadline_, earliest_write));
@@ -298,12 +299,8 @@
 }
 
 bool HostConnection::stream_response() {
-    if (state_ != State::awaiting_response || !reader_.header_complete() || !owner_.streams_responses())
-        return true;
-    if (!streaming_) {
-        if (reader_.header().result() != http::status::ok || !reader_.exceeds_buffered_body()) return true;
-        return begin_streaming();
-    }
+    if (state_ != State::awaiting_response || !reader_.header_complete()) return true;
+    if (!streaming_) return !reader_.needs_streaming() || begin_streaming();
     if (reader_.body().empty()) {
         set_deadline(Steady::now() + stall_timeout);
         return true;
--- a/src/server/host_connection.h
+++ b/src/server/host_connection.h
@@ -49,7 +49,7 @@
     virtual void on_closed(HostCloseReason reason, const std::string& uid) = 0;
     virtual void on_attempt_result(const AttemptKey& key, const std::string& uid, HostResult&& result) = 0;
     virtual void on_health_check_result(const std::string& uid, HostResult&& result) = 0;
-    // Whether long responses are streamed. Otherwise each response is buffered until it is complete.
+    // Whether long responses are streamed. Otherwise they count as malformed.
     [[nodiscard]] virtual bool streams_responses() const = 0;
     // The header and the first part of a streamed response have arrived. Returns false to cancel the attempt.
     [[nodiscard]] virtual bool on_response_begun(const AttemptKey& key, const std::string& uid,
@@ -129,7 +129,9 @@
         closed,
     };
 
-    void start_exchange(bool without_body, std::chrono::microseconds timeout);
+    using ExpectedBody = HostResponseReader::ExpectedBody;
+
+    void start_exchange(ExpectedBody body, std::chrono::microseconds timeout);
     void connect();
     void on_connect_failed(boost::system::error_code failure);
 
--- a/src/server/host_pool.h
+++ b/src/server/host_pool.h
@@ -35,7 +35,8 @@
         std::function<void(const std::string& uid, HostResult&&)> on_health_check_result;
         // Called with the header and the first part of the body of a successful response that is streamed.
         // Reading from the host pauses until `resume_reading` is called. Returns false to cancel the attempt,
-        // if no client waits for the response any more. If this callback is not set, no response is streamed.
+        // if no client waits for the response any more. If this callback is not set, no response is streamed,
+        // and one that is too long to be buffered counts as malformed.
         std::function<bool(const AttemptKey&, const std::string& uid, HostResult&&)> on_response_started = {};
         // Called with a further piece of a streamed response; the last piece is part of the result that
         // `on_attempt_result` receives. Reading pauses again until `resume_reading` is called.
--- a/src/server/host_response_reader.cpp
+++ b/src/server/host_response_reader.cpp
@@ -12,8 +12,8 @@
 
 HostResponseReader::HostResponseReader() : buffer_(max_buffered_body_bytes + max_header_bytes) {}
 
-void HostResponseReader::start(bool without_body) {
-    without_body_ = without_body;
+void HostResponseReader::start(ExpectedBody expected) {
+    expected_body_ = expected;
     interim_responses_ = 0;
     reset_parser();
 }
@@ -23,7 +23,8 @@
     parser_->eager(false);  // stops after the header, to check it before space for a body is allocated
     parser_->header_limit(max_header_bytes);
     parser_->body_limit(max_streamed_body_bytes);
-    parser_->skip(without_body_);
+    parser_->skip(expected_body_ == ExpectedBody::none);
+    discarded_bytes_ = 0;
 }
 
 boost::asio::mutable_buffer HostResponseReader::prepare(bool streaming) {
@@ -51,6 +52,12 @@
         // If the length is ambiguous, it is unknown whether a body is complete and to which response the
         // bytes after it belong.
         if (in_header && header_done && !interim && !has_valid_length()) return Progress::malformed;
+        if (header_done && !may_be_streamed()) {
+            discard_unused_body();
+            // The memory and the time for a body that is not streamed are limited by its size alone: the body
+            // may never end.
+            if (exceeds_buffered_body()) return Progress::malformed;
+        }
         parser_->eager(header_done);
         if (parser_->is_done()) {
             if (!interim) return Progress::complete;
@@ -81,9 +88,23 @@
     return !ec;
 }
 
-bool HostResponseReader::exceeds_buffered_body() {
+bool HostResponseReader::exceeds_buffered_body() const {
+    if (expected_body_ == ExpectedBody::none) return false;
     const auto length = parser_->content_length();
-    return body().size() > max_buffered_body_bytes || (length && *length > max_buffered_body_bytes);
+    return discarded_bytes_ + parser_->get().body().size() > max_buffered_body_bytes ||
+           (length && *length > max_buffered_body_bytes);
+}
+
+bool HostResponseReader::may_be_streamed() const {
+    return expected_body_ == ExpectedBody::streamable && parser_->get().result() == http::status::ok;
+}
+
+bool HostResponseReader::needs_streaming() const { return may_be_streamed() && exceeds_buffered_body(); }
+
+void HostResponseReader::discard_unused_body() {
+    if (parser_->get().result() == http::status::ok) return;
+    discarded_bytes_ += body().size();
+    body().clear();
 }
 
 }  // namespace gateway::server
--- a/src/server/host_response_reader.h
+++ b/src/server/host_response_reader.h
@@ -21,11 +21,18 @@
         malformed,   // the bytes are not a response that the gateway accepts
     };
 
+    // What the response's body is for.
+    enum class ExpectedBody {
+        none,        // the response to a HEAD request: it has no body, whatever its Content-Length is
+        buffered,    // the body is released with the response, and may not exceed `max_buffered_body_bytes`
+        streamable,  // like `buffered`, but the body of a response with status 200 may be streamed instead
+    };
+
     HostResponseReader();
 
-    // Starts to parse the next response. `without_body`: the response has no body, whatever its
-    // Content-Length is, because it answers a HEAD request.
-    void start(bool without_body);
+    // Starts to parse the next response. The body of a response with a status other than 200 is discarded as
+    // it arrives, because nobody uses it.
+    void start(ExpectedBody expected);
     // Discards the parser of the current response. Bytes that it has not parsed stay in the buffer.
     void stop() { parser_.reset(); }
     // Whether a response is awaited or being parsed.
@@ -54,9 +61,9 @@
     [[nodiscard]] const http::response_header<>& header() const { return parser_->get().base(); }
     // The part of the body that has been parsed and not yet moved out.
     [[nodiscard]] std::string& body() { return parser_->get().body(); }
-    // Whether the body is known to exceed `max_buffered_body_bytes`, by its parsed part or its
-    // Content-Length.
-    [[nodiscard]] bool exceeds_buffered_body();
+    // Whether the response has to be streamed: its body is known to exceed `max_buffered_body_bytes`, by its
+    // parsed part or its Content-Length. Requires that the header is complete.
+    [[nodiscard]] bool needs_streaming() const;
     // Returns the response. Requires that it is complete.
     [[nodiscard]] http::response<StreamedBody> release() { return parser_->release(); }
 
@@ -66,13 +73,19 @@
     void reset_parser();
     // Whether the length of the body is unambiguous and within the limit.
     [[nodiscard]] bool has_valid_length() const;
+    [[nodiscard]] bool exceeds_buffered_body() const;
+    // Whether the response may be streamed, if its body is long. Requires that the header is complete.
+    [[nodiscard]] bool may_be_streamed() const;
+    // Discards the parsed part of a body that nobody uses.
+    void discard_unused_body();
     // Returns false if the final response can't follow: after 101, or beyond the limit of interim responses.
     [[nodiscard]] bool skip_interim();
 
     boost::beast::flat_buffer buffer_;
     std::optional<Parser> parser_;
-    bool without_body_ = false;
-    int interim_responses_ = 0;  // number of interim responses before the final response
+    ExpectedBody expected_body_ = ExpectedBody::buffered;
+    std::size_t discarded_bytes_ = 0;  // of the current response's body
+    int interim_responses_ = 0;        // number of interim responses before the final response
 };
 
 }  // namespace gateway::server
--- a/tests/server/host_connection_test.cpp
+++ b/tests/server/host_connection_test.cpp
@@ -122,6 +122,50 @@
     EXPECT_EQ(outcome([](auto& peer) { peer.ok("served"); }), HostOutcome::success);
 }
 
+// Regression: the bodies of error responses, which nobody uses, were held in memory up to 32 MiB for each
+// attempt. Responses that never ended took the process over its memory limit.
+TEST_F(HostPoolTest, AnErrorResponseThatNeverEndsFailsItsAttemptEarly) {
+    const std::string endless(200'000, 'e');
+    for (const std::string& head :
+         {std::string("500 X\r\nTransfer-Encoding: chunked\r\n"), std::string("500 X\r\n"),
+          std::string("404 X\r\nContent-Length: 30000000\r\n"),
+          std::string("503 X\r\nX-Never-Ran: 1\r\nTransfer-Encoding: chunked\r\n")}) {
+        const std::string body = head.find("chunked") == head.npos ? endless : as_chunk(endless);
+        const auto began_at = Steady::now();
+        EXPECT_EQ(outcome([&](auto& peer) { peer.send("HTTP/1.1 " + head + "\r\n" + body); }),
+                  HostOutcome::error)
+            << head;
+        EXPECT_LT(Steady::now() - began_at, 5s) << head;
+    }
+}
+
+// Regression: a health check's long response was streamed as if it were the response to the attempt that the
+// connection had carried before, to whose request it could become the answer.
+TEST_F(HostPoolTest, ALongResponseToAHealthCheckIsNotForwarded) {
+    bool response_started = false;
+    HostPool::Callbacks callbacks;
+    callbacks.on_attempt_result = [&](const auto& key, const auto& uid, auto&& result) {
+        results.push_back({key, uid, std::move(result)});
+    };
+    callbacks.on_health_check_result = [&](const auto& uid, auto&& result) {
+        health_checks.push_back({{}, uid, std::move(result)});
+    };
+    callbacks.on_response_started = [&](const auto&, const auto&, auto&&) { return response_started = true; };
+    created.emplace(io, budget, 15s, host_idle_timeout, std::move(callbacks), min_idle_time);
+    Server host(io, [](auto& peer) {
+        if (peer.request.target() == "/_load") peer.ok(std::string(200'000, 'h'));
+        else peer.ok("served");
+    });
+    update_host(host.endpoint());
+    send(1);
+    ASSERT_TRUE(run_until(io, [&] { return results.size() == 1; }));
+    pool().check_health("h");
+    ASSERT_TRUE(run_until(io, [&] { return !health_checks.empty(); }));
+    EXPECT_EQ(host.peers.size(), 1u);  // the same connection
+    EXPECT_EQ(health_checks[0].result.outcome, HostOutcome::error);
+    EXPECT_FALSE(response_started);
+}
+
 // Regression: nothing ended a retry whose host still read the request when the deduplication window was over,
 // so that hosts executed a request with an idempotency key twice.
 TEST_F(HostPoolTest, ARequestThatIsNotDeliveredInTimeNeverArrivesCompletely) {
--- a/tests/server/host_response_reader_test.cpp
+++ b/tests/server/host_response_reader_test.cpp
@@ -10,6 +10,7 @@
 namespace gateway::server::test {
 namespace {
 using Progress = HostResponseReader::Progress;
+using ExpectedBody = HostResponseReader::ExpectedBody;
 
 // Adds the bytes to the reader's buffer, as a read from a socket does.
 void add_bytes(HostResponseReader& reader, std::string_view bytes) {
@@ -20,7 +21,7 @@
 
 // Parses the bytes as the next response, to a request with a method other than HEAD.
 Progress parse(HostResponseReader& reader, std::string_view bytes) {
-    reader.start(false);
+    reader.start(ExpectedBody::streamable);
     add_bytes(reader, bytes);
     return reader.parse();
 }
@@ -67,7 +68,7 @@
 
 TEST(HostResponseReader, AResponseToAHeadRequestHasNoBody) {
     HostResponseReader reader;
-    reader.start(true);
+    reader.start(ExpectedBody::none);
     add_bytes(reader, "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n");
     EXPECT_EQ(reader.parse(), Progress::complete);
 }
@@ -82,16 +83,43 @@
     EXPECT_FALSE(with_length.finish_at_end_of_stream());
 }
 
-TEST(HostResponseReader, AContentLengthAboveTheLimitExceedsTheBufferedBody) {
+TEST(HostResponseReader, AContentLengthAboveTheLimitNeedsStreaming) {
     const std::string header = "HTTP/1.1 200 OK\r\nContent-Length: ";
     HostResponseReader at_limit;
     EXPECT_EQ(parse(at_limit, header + std::to_string(max_buffered_body_bytes) + "\r\n\r\n"),
               Progress::incomplete);
-    EXPECT_FALSE(at_limit.exceeds_buffered_body());
+    EXPECT_FALSE(at_limit.needs_streaming());
     HostResponseReader beyond_limit;
     EXPECT_EQ(parse(beyond_limit, header + std::to_string(max_buffered_body_bytes + 1) + "\r\n\r\n"),
               Progress::incomplete);
-    EXPECT_TRUE(beyond_limit.exceeds_buffered_body());
+    EXPECT_TRUE(beyond_limit.needs_streaming());
+}
+
+// Regression: the body of an error response, which nobody uses, was held in memory up to 32 MiB for each
+// attempt. A response that never ended took the process over its memory limit.
+TEST(HostResponseReader, TheBodyOfAnErrorResponseIsDiscardedUpToTheLimit) {
+    HostResponseReader reader;
+    EXPECT_EQ(parse(reader, "HTTP/1.1 500 X\r\n\r\n"), Progress::incomplete);
+    const std::string piece(4096, 'e');
+    for (std::size_t bytes = piece.size(); bytes <= max_buffered_body_bytes; bytes += piece.size()) {
+        add_bytes(reader, piece);
+        ASSERT_EQ(reader.parse(), Progress::incomplete);
+        EXPECT_TRUE(reader.body().empty());
+    }
+    add_bytes(reader, piece);
+    EXPECT_EQ(reader.parse(), Progress::malformed);
+}
+
+TEST(HostResponseReader, ABodyThatCannotBeStreamedIsLimited) {
+    const std::string header = "HTTP/1.1 200 OK\r\nContent-Length: ";
+    HostResponseReader at_limit;
+    at_limit.start(ExpectedBody::buffered);
+    add_bytes(at_limit, header + std::to_string(max_buffered_body_bytes) + "\r\n\r\n");
+    EXPECT_EQ(at_limit.parse(), Progress::incomplete);
+    HostResponseReader beyond_limit;
+    beyond_limit.start(ExpectedBody::buffered);
+    add_bytes(beyond_limit, header + std::to_string(max_buffered_body_bytes + 1) + "\r\n\r\n");
+    EXPECT_EQ(beyond_limit.parse(), Progress::malformed);
 }
 
 }  // namespace
