Don't send on requests of clients that have left; evict for waiting ones

Callers saw invoices sent on 1.1 s after they had closed the connection, and connections that waited unaccepted for seconds although others were idle.

Cause: the listener waited for a released slot, but a connection that becomes idle releases none until one is requested; clients that stopped in a second request couldn't be evicted; and a request was passed on before the end of the stream behind it was read, also after the pause that follows a rejected one.

--- a/src/server/client_connection.cpp
+++ b/src/server/client_connection.cpp
@@ -7,6 +7,7 @@
 
 #include "client_limits.h"
 #include "containment.h"
+#include "socket_state.h"
 #include "socket_write.h"
 
 namespace gateway::server {
@@ -47,7 +48,7 @@
     if (!first_request) set_timeout(client_limits::idle_timeout);
     // No release of this program hands over more bytes than the reader's buffer holds.
     if (!reader_.append(unread)) return close(ClientCloseReason::internal_error);
-    unread_since_ = Steady::now();
+    unread_since_ = last_input_at_ = Steady::now();
     error_code ec;
     socket_.non_blocking(true, ec);
     process_input();
@@ -76,6 +77,12 @@
     return request_ == 0 && !writing_ && !has_deferred_input() && socket_.available(ec) == 0;
 }
 
+bool ClientConnection::stalled(Steady::time_point since) const {
+    if (state_ != State::open || request_ != 0 || writing_) return false;
+    error_code ec;
+    return reader_.active() && last_input_at_ <= since && socket_.available(ec) == 0;
+}
+
 bool ClientConnection::between_requests() const {
     return (state_ == State::open || state_ == State::paused) && request_ == 0 && !writing_ &&
            !reader_.active();
@@ -235,6 +242,7 @@
     // A request's time starts when its first byte arrives, even if the request is then buffered for a while.
     if (reader_.buffered_bytes() == 0 && bytes > 0)
         unread_since_ = std::exchange(first_bytes_at_, std::nullopt).value_or(Steady::now());
+    if (bytes > 0) last_input_at_ = Steady::now();
     reader_.commit(bytes);
     process_input();
 }
@@ -305,6 +313,8 @@
         const bool healthy = !owner_.draining() && owner_.healthy();
         return respond(make_answer(healthy ? http::status::ok : http::status::service_unavailable));
     }
+    // The request may have waited in the kernel while its client gave up and closed the connection.
+    if (is_closed_by_peer(socket_)) return close(ClientCloseReason::closed_by_client);
     // A connection that has only sent health checks stays a newcomer, so that it is evicted before
     // connections that have sent other requests.
     connections_.move_to_known(*this);
--- a/src/server/client_connection.h
+++ b/src/server/client_connection.h
@@ -86,6 +86,8 @@
     // Whether the client connected at `connected_by` or before, has sent nothing since that could be a
     // complete request, and is not being answered. A lingering connection also counts.
     [[nodiscard]] bool evictable_newcomer(Steady::time_point connected_by) const;
+    // Whether the next request is incomplete and no byte of it has arrived after `since`.
+    [[nodiscard]] bool stalled(Steady::time_point since) const;
     // Whether the connection is not closed and its current deadline has been reached.
     [[nodiscard]] bool overdue(Steady::time_point now) const {
         return state_ != State::closed && now >= deadline_;
@@ -167,6 +169,8 @@
     std::optional<Steady::time_point> first_bytes_at_;
     // The arrival time of the first buffered byte.
     Steady::time_point unread_since_;
+    // When bytes were last received that were not dropped.
+    Steady::time_point last_input_at_;
     // The number of input bytes dropped on this connection.
     std::size_t dropped_bytes_ = 0;
     // The number of body bytes received since they last extended the deadline.
--- a/src/server/client_connection_set.cpp
+++ b/src/server/client_connection_set.cpp
@@ -14,6 +14,8 @@
 // A newcomer that connected at least this long ago, and has sent nothing that could be a complete request, is
 // evicted first, because clients normally send their first request well within this time.
 constexpr std::chrono::milliseconds newcomer_grace_period = 50ms;
+// A known connection whose client has stopped for this long in the middle of a request can be evicted.
+constexpr std::chrono::milliseconds stall_grace_period = 200ms;
 }  // namespace
 
 void ClientConnectionSet::add_newcomer(const std::shared_ptr<ClientConnection>& connection) {
@@ -59,7 +61,8 @@
 }
 
 bool ClientConnectionSet::evict_one() {
-    return evict_one_newcomer(newcomer_grace_period) || evict_one_idle() || evict_one_newcomer({});
+    return evict_one_newcomer(newcomer_grace_period) || evict_one_idle() || evict_one_stalled() ||
+           evict_one_newcomer({});
 }
 
 bool ClientConnectionSet::evict_one_newcomer(Steady::duration min_age) {
@@ -80,6 +83,16 @@
     return true;
 }
 
+bool ClientConnectionSet::evict_one_stalled() {
+    const auto silent_since = Steady::now() - stall_grace_period;
+    const auto found = std::find_if(known_.begin(), known_.end(), [&](const auto& connection) {
+        return connection->stalled(silent_since);
+    });
+    if (found == known_.end()) return false;
+    (*found)->close(ClientCloseReason::evicted);
+    return true;
+}
+
 // Selects the connections before it runs any handler, because a handler may evict, close or move connections
 // other than its own: no iterator into a list is held meanwhile.
 template <class Condition, class Handler>
--- a/src/server/client_connection_set.h
+++ b/src/server/client_connection_set.h
@@ -46,10 +46,10 @@
     [[nodiscard]] bool any_busy() const;
 
     // Closes one connection to free its descriptor; returns false if none can be closed. Selects a newcomer
-    // whose grace period since the connect is over; if there is none, an idle known connection; if there is
-    // none either, a newer newcomer. Guards against large numbers of clients that connect and send nothing,
-    // or never complete a request: their connections are evicted before those of any client that has sent a
-    // request.
+    // whose grace period since the connect is over; if there is none, an idle known connection; then a known
+    // connection whose client has stopped in the middle of a request; and at last a newer newcomer. Guards
+    // against large numbers of clients that connect and send nothing, or never complete a request: their
+    // connections are evicted before those of any client that has sent a request.
     bool evict_one();
     // Closes the idle known connection that was used longest ago; returns false if none is idle.
     bool evict_one_idle();
@@ -65,6 +65,7 @@
     static void add(Connections& list, const std::shared_ptr<ClientConnection>& connection);
     static void move(ClientConnection& connection, Connections& list, Connections::iterator before);
     bool evict_one_newcomer(Steady::duration min_age);
+    bool evict_one_stalled();
     // Runs `handler` for each connection that fulfils `condition`, which has to be false for a closed one. A
     // connection that no longer fulfils it after the earlier handlers have run is skipped.
     template <class Condition, class Handler>
--- a/src/server/client_listener.cpp
+++ b/src/server/client_listener.cpp
@@ -21,7 +21,7 @@
 // While the backlog is never empty, the time at which the next connection in it arrived is unknown. It is
 // assumed to be at most this long ago, because otherwise all requests on it would count as expired.
 constexpr std::chrono::milliseconds max_backlog_age = 500ms;
-// The delay after an accept failed because descriptors or memory were short.
+// The delay after an accept failed because descriptors, memory or slots of the socket budget were short.
 constexpr std::chrono::milliseconds accept_backoff = 20ms;
 
 bool is_shortage(error_code ec) {
@@ -75,7 +75,8 @@
 }
 
 // One accept is always pending, unless accepting is suspended or the socket budget has no slot for a further
-// client. In the second case, the next slot that becomes free starts the accept.
+// client. In the second case, the next slot that becomes free starts the accept, or else the end of the
+// backoff: a connection that can be evicted by then frees a slot only when one is requested.
 void ClientListener::accept() {
     if (accept_pending_ || suspended_ || !acceptor_.is_open()) return;
     accept_pending_ = true;
@@ -95,7 +96,7 @@
     else if (!backlog_since_) backlog_since_ = Steady::now();
     if (!had_place) {
         awaiting_slot_ = true;
-        return;
+        return accept_after_backoff();
     }
     if (!is_shortage(ec)) return accept();
     LogLine(LogLevel::warning, "accept_failed").with("error", ec.message());
@@ -108,7 +109,9 @@
 void ClientListener::accept_after_backoff() {
     backoff_timer_.expires_after(accept_backoff);
     backoff_timer_.async_wait([this](error_code cancelled) {
-        if (!cancelled) accept();
+        if (cancelled) return;
+        awaiting_slot_ = false;
+        accept();
     });
 }
 
--- a/src/server/host_connection.cpp
+++ b/src/server/host_connection.cpp
@@ -8,6 +8,7 @@
 
 #include "containment.h"
 #include "log.h"
+#include "socket_state.h"
 #include "socket_write.h"
 
 namespace gateway::server {
--- a/src/server/socket_write.h
+++ b/src/server/socket_write.h
@@ -1,9 +1,6 @@
 // Non-blocking writes to a stream socket.
 #pragma once
 
-#include <linux/sockios.h>
-#include <sys/ioctl.h>
-
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/system/error_code.hpp>
@@ -38,12 +35,4 @@
     return written;
 }
 
-// Whether the peer's machine has acknowledged all bytes that were written to the TCP socket. Returns false if
-// the system can't tell.
-template <class Socket>
-[[nodiscard]] bool is_output_acknowledged(Socket& socket) {
-    int unacknowledged_bytes = 0;
-    return ::ioctl(socket.native_handle(), SIOCOUTQ, &unacknowledged_bytes) == 0 && unacknowledged_bytes == 0;
-}
-
 }  // namespace gateway::server
--- a/tests/server/client_disconnect_test.cpp
+++ b/tests/server/client_disconnect_test.cpp
@@ -109,5 +109,28 @@
     EXPECT_TRUE(flooding_client.answers().empty());
 }
 
+// Regression: while the input of a connection is deferred, only a part of it is read, and the rest hid that
+// the client had left. Its request was sent on at the end of the pause after a rejected one.
+TEST_F(GatewayTest, ARequestWhoseClientHasLeftDuringAPauseIsNotForwarded) {
+    ASSERT_TRUE(becomes_ready());
+    const std::string body(20000, 'x');
+    const std::string long_request =
+        request("a", "Content-Length: " + std::to_string(body.size()) + "\r\n", "book")
+            .replace(0, 3, "POST") +
+        body;
+    Client client(io, address());
+    client.send("GET /wrong HTTP/1.1\r\nHost: x\r\n\r\n");
+    ASSERT_TRUE(answered(client));
+    client.send(long_request);
+    client.close();
+    ASSERT_TRUE(run_until(io, [&] { return budget->in_use(SocketBudget::Side::client) == 0; }));
+    EXPECT_TRUE(time_passes(50ms));
+    EXPECT_TRUE(host.requests.empty());
+    Client staying(io, address());
+    staying.send(long_request);
+    ASSERT_TRUE(answered(staying));
+    EXPECT_EQ(staying.answers()[0].result_int(), 200u);
+}
+
 }  // namespace
 }  // namespace gateway::server::test
--- a/tests/server/resource_limit_test.cpp
+++ b/tests/server/resource_limit_test.cpp
@@ -1,4 +1,6 @@
 // Tests of the limits on descriptors, memory and time for clients' connections.
+#include <algorithm>
+
 #include "gateway_fixture.h"
 
 namespace gateway::server::test {
@@ -151,5 +153,82 @@
     EXPECT_LE(received.back().arrived, waiting_since);
 }
 
+// A client server with slots for at most six clients, whose requests the tests answer by hand.
+struct SocketLimitTest : ::testing::Test {
+    static constexpr std::size_t max_clients = 6;
+    asio::io_context io;
+    SocketBudget budget{10};
+    std::vector<ClientRequest> received;
+    ClientServer server{io,
+                        any_port(),
+                        budget,
+                        1024 * 1024,
+                        {[this](ClientRequest&& r) { received.push_back(std::move(r)); },
+                         [](std::uint64_t) {}, [] { return true; }}};
+    std::vector<Client> clients;
+
+    void SetUp() override {
+        server.accept_requests();
+        for (std::size_t i = 0; i < max_clients; ++i) {
+            clients.emplace_back(io, server.local_endpoint());
+            clients.back().send(request("busy" + std::to_string(i)));
+        }
+        ASSERT_TRUE(receives(max_clients));
+    }
+    bool receives(std::size_t count) {
+        return run_until(io, [&] { return received.size() >= count; });
+    }
+    // Runs the handlers of everything that has arrived.
+    void run_handlers() {
+        while (io.poll() > 0) {
+        }
+    }
+    void answer_all() {
+        for (const ClientRequest& r : received) server.answer(r.id, make_answer(http::status::ok));
+    }
+};
+
+// Regression: a connection that found no slot waited until another one was closed, although answered ones had
+// become idle and could have been closed for it. Its request was then late, or its client had gone.
+TEST_F(SocketLimitTest, AConnectionThatBecomesIdleIsEvictedForAWaitingOne) {
+    Client waiting(io, server.local_endpoint());
+    waiting.send(request("waiting"));
+    run_handlers();
+    ASSERT_EQ(received.size(), max_clients);
+    const auto answered_at = Steady::now();
+    answer_all();
+    ASSERT_TRUE(receives(max_clients + 1));
+    EXPECT_LT(Steady::now() - answered_at, 5s);  // less than the idle timeout
+}
+
+// Regression: clients that stopped in the middle of a second request kept all slots until their timeout.
+TEST_F(SocketLimitTest, AStalledConnectionIsEvictedForAWaitingOne) {
+    answer_all();
+    ASSERT_TRUE(run_until(io, [&] { return clients.back().answers().size() == 1; }));
+    for (Client& client : clients) client.send("GET / HTTP/1.1\r\n");
+    run_handlers();
+    Client waiting(io, server.local_endpoint());
+    waiting.send(request("waiting"));
+    ASSERT_TRUE(receives(max_clients + 1));
+    const auto timed_out = [](const Client& client) { return client.answers().size() > 1; };
+    EXPECT_EQ(std::count_if(clients.begin(), clients.end(), timed_out), 0);
+}
+
+// Regression: a request was sent on more than a second after its client had closed the connection, which had
+// waited for a slot meanwhile.
+TEST_F(SocketLimitTest, ARequestWhoseClientHasLeftBeforeTheAcceptIsNotPassedOn) {
+    for (const char* excess : {"", "excess"}) {
+        Client leaving(io, server.local_endpoint());
+        leaving.send(request("leaving") + excess);
+        run_handlers();
+        leaving.close();
+    }
+    answer_all();
+    Client last(io, server.local_endpoint());
+    last.send(request("last"));
+    ASSERT_TRUE(receives(max_clients + 1));
+    EXPECT_EQ(received.back().message["X-Trace-Id"], "last");
+}
+
 }  // namespace
 }  // namespace gateway::server::test
