Limit the number of header fields, which took far more memory than their text

Callers could take a gateway over its memory limit with some hundred heads of thousands of short fields: Beast parses fields as they arrive and needs about a hundred bytes for each, 20 times the text.

Evidence (real processes, 500 clients at once, limit 48 MB, former code): 125 MB with half a body behind the head, 74 MB with whole requests, 95 MB with heads that don't end. The two new tests failed on the former code (status ok instead of 431, complete instead of malformed).

Requests with more than 128 fields get 431, responses of hosts count as malformed; fields of trailers count too, and incomplete heads are checked as well.

--- a/src/server/client_request_reader.cpp
+++ b/src/server/client_request_reader.cpp
@@ -14,6 +14,9 @@
 // connection does in any case.
 constexpr std::size_t max_unreserved_body_bytes = 4096;
 
+constexpr UnreadableRequest too_many_fields{http::status::request_header_fields_too_large,
+                                            "too many header fields"};
+
 std::optional<UnreadableRequest> error_of(error_code ec) {
     if (!ec || ec == http::error::need_more) return std::nullopt;
     if (ec == http::error::header_limit)
@@ -67,6 +70,8 @@
     buffer_.consume(progress.consumed_bytes);
     consumed_any_ = consumed_any_ || progress.consumed_bytes > 0;
     progress.error = error_of(ec);
+    // Fields are parsed as they arrive, also before the header is complete.
+    if (!progress.error && has_too_many_fields(parser_->get().base())) progress.error = too_many_fields;
     if (progress.error) return progress;
     progress.header_completed = in_header && parser_->is_header_done();
     if (progress.header_completed) progress.error = check_header();
--- a/src/server/host_response_reader.cpp
+++ b/src/server/host_response_reader.cpp
@@ -45,6 +45,7 @@
         const bool in_header = !parser_->is_header_done();
         const std::size_t used = parser_->put(buffer_.data(), ec);
         buffer_.consume(used);
+        if (has_too_many_fields(parser_->get().base())) return Progress::malformed;
         if (ec == http::error::need_more) return Progress::incomplete;
         if (ec) return Progress::malformed;
         const bool header_done = parser_->is_header_done();
--- a/src/server/http.h
+++ b/src/server/http.h
@@ -18,6 +18,9 @@
 
 // The maximum size of a message's header, in bytes.
 constexpr std::size_t max_header_bytes = 16 * 1024;
+// The maximum number of header fields of a message, with those of its trailer. A parsed field takes about a
+// hundred bytes beside its text, so that many short fields need far more memory than `max_header_bytes`.
+constexpr std::size_t max_header_fields = 128;
 // A body of up to this many bytes is held in memory completely; a longer response is streamed.
 constexpr std::size_t max_buffered_body_bytes = 64 * 1024;
 // The maximum size of a streamed response's body, in bytes.
@@ -115,6 +118,11 @@
     return !length || *length <= max_streamed_body_bytes;
 }
 
+template <class Fields>
+[[nodiscard]] bool has_too_many_fields(const Fields& fields) {
+    return static_cast<std::size_t>(std::distance(fields.begin(), fields.end())) > max_header_fields;
+}
+
 // Removes the hop-by-hop header fields, which apply to one connection only and must not be forwarded.
 template <class Fields>
 void strip_connection_fields(Fields& fields) {
--- a/tests/server/client_request_reader_test.cpp
+++ b/tests/server/client_request_reader_test.cpp
@@ -72,6 +72,23 @@
     EXPECT_EQ(rejection("GET / HTTP/1.1\r\n\r\n"), http::status::ok);
 }
 
+// Regression: a header of thousands of short fields took 20 times its size in memory, so that some hundred
+// clients took the process over its memory limit.
+TEST_F(ClientRequestReaderTest, LimitsTheNumberOfHeaderFieldsAlsoBeforeTheHeaderIsComplete) {
+    const auto fields = [](std::size_t count) {
+        std::string text;
+        for (std::size_t i = 0; i < count; ++i) text += "a:b\r\n";
+        return text;
+    };
+    const auto too_large = http::status::request_header_fields_too_large;
+    EXPECT_EQ(rejection("GET / HTTP/1.1\r\n" + fields(max_header_fields) + "\r\n"), http::status::ok);
+    EXPECT_EQ(rejection("GET / HTTP/1.1\r\n" + fields(max_header_fields + 1) + "\r\n"), too_large);
+    EXPECT_EQ(rejection("GET / HTTP/1.1\r\n" + fields(max_header_fields + 2)), too_large);
+    EXPECT_EQ(rejection("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" +
+                        fields(max_header_fields + 2) + "\r\n"),
+              too_large);
+}
+
 TEST_F(ClientRequestReaderTest, ReservesTheBytesOfABodyUntilTheRequestEnds) {
     const std::string header = "POST / HTTP/1.1\r\nContent-Length: 60000\r\n\r\n";
     EXPECT_FALSE(parse(header).error);
--- a/tests/server/host_response_reader_test.cpp
+++ b/tests/server/host_response_reader_test.cpp
@@ -66,6 +66,18 @@
     }
 }
 
+TEST(HostResponseReader, LimitsTheNumberOfHeaderFields) {
+    const auto response = [](std::size_t field_count) {
+        std::string text = "HTTP/1.1 200 OK\r\n";
+        for (std::size_t i = 1; i < field_count; ++i) text += "a:b\r\n";
+        return text + "Content-Length: 0\r\n\r\n";
+    };
+    HostResponseReader at_limit;
+    EXPECT_EQ(parse(at_limit, response(max_header_fields)), Progress::complete);
+    HostResponseReader beyond_limit;
+    EXPECT_EQ(parse(beyond_limit, response(max_header_fields + 1)), Progress::malformed);
+}
+
 TEST(HostResponseReader, AResponseToAHeadRequestHasNoBody) {
     HostResponseReader reader;
     reader.start(ExpectedBody::none);
