Let a response that is being written be completed after SIGTERM

Callers saw long answers end in the middle 3.57 s after SIGTERM, although SIGKILL had not come (1.35 of 3 MB passed on; 2.1 of 3 MB after an upgrade).

Cause: GracefulShutdown ended the process at the earliest time at which SIGKILL may follow, whatever was being written by then.

The new test failed on the former code: the shutdown was done while the host still sent.

Unanswered requests get their 504 at that time as before; the process goes on while a response is partly written, for at most 30 s after SIGTERM.

--- a/src/server/client_connection.h
+++ b/src/server/client_connection.h
@@ -83,6 +83,10 @@
     // Whether the connection has a request in flight, a partly written response, or unread bytes, which may
     // be a request.
     [[nodiscard]] bool busy() const;
+    // Whether a response has been written in part only.
+    [[nodiscard]] bool writing_response() const {
+        return state_ != State::closed && (writing_ || streaming_);
+    }
     // Whether the client connected at `connected_by` or before, has sent nothing since that could be a
     // complete request, and is not being answered. A lingering connection also counts.
     [[nodiscard]] bool evictable_newcomer(Steady::time_point connected_by) const;
--- a/src/server/client_connection_set.cpp
+++ b/src/server/client_connection_set.cpp
@@ -60,6 +60,12 @@
            std::any_of(known_.begin(), known_.end(), busy);
 }
 
+bool ClientConnectionSet::any_writing() const {
+    const auto writing = [](const auto& connection) { return connection->writing_response(); };
+    return std::any_of(newcomers_.begin(), newcomers_.end(), writing) ||
+           std::any_of(known_.begin(), known_.end(), writing);
+}
+
 bool ClientConnectionSet::evict_one() {
     return evict_one_newcomer(newcomer_grace_period) || evict_one_idle() || evict_one_stalled() ||
            evict_one_newcomer({});
--- a/src/server/client_connection_set.h
+++ b/src/server/client_connection_set.h
@@ -44,6 +44,8 @@
     [[nodiscard]] std::size_t known_count() const { return known_.size(); }
     // Whether any connection has a request in flight, unread bytes, or a partly written response.
     [[nodiscard]] bool any_busy() const;
+    // Whether any connection has a partly written response.
+    [[nodiscard]] bool any_writing() const;
 
     // Closes one connection to free its descriptor; returns false if none can be closed. Selects a newcomer
     // whose grace period since the connect is over; if there is none, an idle known connection; then a known
--- a/src/server/client_server.h
+++ b/src/server/client_server.h
@@ -95,6 +95,9 @@
     // Whether no connection has a request in flight, a partly read or unread request, or a partly written
     // response.
     [[nodiscard]] bool is_idle() const { return !connections_.any_busy(); }
+    // Whether any response has been written in part only, because its client reads slowly or its host still
+    // sends it.
+    [[nodiscard]] bool is_writing_responses() const { return connections_.any_writing(); }
     [[nodiscard]] boost::asio::ip::tcp::endpoint local_endpoint() const { return listener_.local_endpoint(); }
 
   private:
--- a/src/server/graceful_shutdown.cpp
+++ b/src/server/graceful_shutdown.cpp
@@ -16,6 +16,9 @@
 // Requests still in flight are answered before SIGKILL, with the margin below.
 constexpr Micros max_counted_deadline = 3s;
 constexpr Micros margin_before_kill = 150ms;
+// SIGKILL may come later than it has to, or not at all. Responses that are being written by then continue for
+// at most this long after SIGTERM.
+constexpr Micros max_response_time = 30s;
 }  // namespace
 
 GracefulShutdown::GracefulShutdown(boost::asio::io_context& io, const Dependencies& dependencies)
@@ -38,6 +41,7 @@
     LogLine(LogLevel::info, "draining").with("requests", static_cast<std::int64_t>(requests_.in_flight()));
     listeners_.clients()->drain();
     latest_end_ = latest_end();
+    latest_response_end_ = clock_.now() + max_response_time;
     check_after(accept_time);
 }
 
@@ -61,10 +65,10 @@
     const bool time_over = clock_.now() >= latest_end_;
     if (time_over) requests_.fail_unanswered();
     ClientServer& clients = *listeners_.clients();
-    if (!time_over && (!clients.is_idle() || clients.accept_backlog() || upgrade_.is_delivering())) {
-        check_after(check_interval);
-        return;
-    }
+    const bool has_work = time_over
+                              ? clients.is_writing_responses() && clock_.now() < latest_response_end_
+                              : !clients.is_idle() || clients.accept_backlog() || upgrade_.is_delivering();
+    if (has_work) return check_after(check_interval);
     discovery_->stop();
     LogLine(LogLevel::info, "drained")
         .with("reason", time_over ? "time_over" : "quiet")
--- a/src/server/graceful_shutdown.h
+++ b/src/server/graceful_shutdown.h
@@ -15,7 +15,7 @@
 namespace gateway::server {
 
 // Drains the gateway: it serves new requests for a while, answers the requests in flight, and finishes once
-// none is left or the time limit is reached.
+// none is left or the time limit is reached. A response that is being written then may be completed.
 class GracefulShutdown {
   public:
     // All dependencies must outlive the shutdown.
@@ -48,8 +48,10 @@
     Discovery* discovery_ = nullptr;
     std::function<void()> on_drained_;
     boost::asio::steady_timer timer_;
-    // The time of `Clock` at which the shutdown ends at the latest.
+    // The time of `Clock` at which the shutdown ends at the latest, unless a response is being written.
     Micros latest_end_{0};
+    // The time of `Clock` at which the shutdown ends in any case.
+    Micros latest_response_end_{0};
 };
 
 }  // namespace gateway::server
--- a/tests/server/shutdown_test.cpp
+++ b/tests/server/shutdown_test.cpp
@@ -116,6 +116,31 @@
     EXPECT_NE(client.answers()[0].result_int(), 200u);
 }
 
+// Regression: the gateway ended 3.55 s after SIGTERM although SIGKILL had not come, and thereby cut off a
+// long response that the host was still sending.
+TEST_F(GatewayTest, AResponseThatIsBeingStreamedMayBeCompletedAfterTheLatestEnd) {
+    deadline_ms = 100;
+    const std::string piece(100'000, 'x');
+    on_request = [&](auto& peer) {
+        peer.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(2 * piece.size()) + "\r\n\r\n" +
+                  piece);
+    };
+    ASSERT_TRUE(becomes_ready());
+    Client client(io, address());
+    client.send(request("a"));
+    ASSERT_TRUE(run_until(io, [&] { return client.received().size() > piece.size(); }));
+    bool done = false;
+    gateway().drain([&] { done = true; });
+    constexpr auto latest_end = 700ms + 100ms - 150ms;
+    EXPECT_TRUE(time_passes(latest_end + 200ms));
+    EXPECT_FALSE(done);
+    EXPECT_FALSE(client.closed());
+    host.peers[0]->send(piece);
+    ASSERT_TRUE(answered(client));
+    EXPECT_EQ(client.answers()[0].body(), piece + piece);
+    EXPECT_TRUE(run_until(io, [&] { return done; }));
+}
+
 TEST_F(GatewayTest, AnIncompleteRequestDoesNotDelayAShutdown) {
     deadline_ms = 100;
     ASSERT_TRUE(becomes_ready());
