Don't have requests executed twice that come again after their end

Callers saw an invoice executed twice: its client left and sent it again with the same trace id, at the same process or at the other one of an upgrade.

Cause: a trace id was released when its request ended, also if a host may have executed it, and the successor in an upgrade knew none of the ids.

Such a request gets 409, as with an id in flight.

--- a/src/server/handover.h
+++ b/src/server/handover.h
@@ -68,6 +68,8 @@
         leave_standby = 'a',
         // Payload: the uid of a host that an endpoint list has contained.
         known_host = 'n',
+        // Trace ids that the successor must not forward. Payload: their hashes, 16 hexadecimal digits each.
+        executed_trace_ids = 'i',
     };
     Kind kind = Kind::greeting;
     std::string payload;
--- a/src/server/in_flight_requests.cpp
+++ b/src/server/in_flight_requests.cpp
@@ -33,4 +33,11 @@
     return ids;
 }
 
+std::vector<std::string_view> InFlightRequests::non_idempotent_trace_ids() const {
+    std::vector<std::string_view> trace_ids;
+    for (const auto& [id, request] : requests_)
+        if (!request.idempotent) trace_ids.emplace_back(request.trace_id);
+    return trace_ids;
+}
+
 }  // namespace gateway::server
--- a/src/server/in_flight_requests.h
+++ b/src/server/in_flight_requests.h
@@ -30,6 +30,9 @@
     int attempts_in_flight = 0;
     // Whether the request has its final answer, or needs none because its client has disconnected.
     bool answered = false;
+    bool idempotent = true;
+    // Whether a host may have executed an attempt that has ended.
+    bool may_have_run = false;
     // The attempt whose response is being streamed to the client.
     std::optional<int> streaming_attempt;
 };
@@ -45,6 +48,8 @@
     [[nodiscard]] bool contains_trace_id(std::string_view trace_id) const;
     void erase(decision::RequestId id);
     [[nodiscard]] std::vector<decision::RequestId> unanswered() const;
+    // The trace ids of the non-idempotent requests.
+    [[nodiscard]] std::vector<std::string_view> non_idempotent_trace_ids() const;
     // The number of requests, including answered ones that have attempts in flight.
     [[nodiscard]] std::size_t size() const noexcept { return requests_.size(); }
 
--- a/src/server/request_handler.cpp
+++ b/src/server/request_handler.cpp
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <utility>
 
+#include "gateway/request_rules.h"
 #include "load_report.h"
 #include "log.h"
 #include "outcome.h"
@@ -46,8 +47,10 @@
     RequestAttributes attributes;
     std::optional<RequestError> error = validator_.validate(request.message, attributes);
     // Trace ids are unique among the requests in flight. Otherwise, a host would receive two requests with
-    // the same trace id, and an answer could be sent to the wrong client.
-    if (!error && requests_.contains_trace_id(attributes.trace_id))
+    // the same trace id, and an answer could be sent to the wrong client. A client that sends a request again
+    // after it has disconnected must not have it executed twice.
+    if (!error && (requests_.contains_trace_id(attributes.trace_id) ||
+                   executed_trace_ids_.contains(attributes.trace_id, clock_.now())))
         error = {http::status::conflict, "X-Trace-Id: expected one that is not open"};
     metrics_.request_received();
     if (error) {
@@ -69,6 +72,7 @@
     arrived.body_reservation = std::move(request.body_reservation);
     arrived.trace_id = std::move(attributes.trace_id);
     arrived.deadline = deadline;
+    arrived.idempotent = is_idempotent(event.request_class);
     const InFlightRequest& added = requests_.add(request.id, std::move(arrived));
     LogLine(LogLevel::debug, "request_received")
         .with("request", request.id)
@@ -82,6 +86,11 @@
     dispatcher_.dispatch(std::move(event));
 }
 
+bool RequestHandler::is_idempotent(int request_class) const {
+    return settings_.classes[static_cast<std::size_t>(request_class)].idempotency ==
+           decision::Idempotency::idempotent;
+}
+
 void RequestHandler::reject_invalid(decision::RequestId id, const RequestError& error) {
     metrics_.request_invalid();
     LogLine(LogLevel::debug, "request_invalid").with("request", id).with("reason", error.message);
@@ -125,6 +134,7 @@
     if (request == nullptr) return;
     --request->attempts_in_flight;
     const decision::Outcome outcome = to_decision_outcome(result.outcome);
+    request->may_have_run = request->may_have_run || !decision::proves_not_executed(outcome);
     metrics_.attempt_ended(result.outcome);
     guard_.attempt_ended(key.request, key.attempt, outcome);
     LogLine(LogLevel::debug, "attempt_ended")
@@ -276,10 +286,19 @@
 void RequestHandler::erase_if_finished(decision::RequestId id) {
     const InFlightRequest* const request = requests_.find(id);
     if (request == nullptr || !request->answered || request->attempts_in_flight > 0) return;
+    if (!request->idempotent && request->may_have_run)
+        executed_trace_ids_.add(request->trace_id, clock_.now());
     guard_.forget(id);
     requests_.erase(id);
 }
 
+std::string RequestHandler::trace_ids_for_successor() const {
+    ExecutedTraceIds trace_ids = executed_trace_ids_;
+    for (const std::string_view trace_id : requests_.non_idempotent_trace_ids())
+        trace_ids.add(trace_id, clock_.now());
+    return trace_ids.serialize();
+}
+
 void RequestHandler::on_deadline(decision::RequestId id) {
     // The decision module normally answers before the deadline. A request that the module has lost track of
     // because of a fault must still be answered.
--- a/src/server/request_handler.h
+++ b/src/server/request_handler.h
@@ -6,6 +6,7 @@
 #include "client_server.h"
 #include "clock.h"
 #include "event_dispatcher.h"
+#include "executed_trace_ids.h"
 #include "gateway/interface.h"
 #include "gateway/rule_guard.h"
 #include "host_pool.h"
@@ -54,6 +55,13 @@
     void on_deadline(decision::RequestId id);
     // Answers each unanswered request with 504.
     void fail_unanswered();
+    // Returns the trace ids that the successor in an upgrade must not forward, in the form of
+    // `ExecutedTraceIds`.
+    [[nodiscard]] std::string trace_ids_for_successor() const;
+    // Adds trace ids that the predecessor in an upgrade has handed over.
+    void add_executed_trace_ids(std::string_view serialized) {
+        executed_trace_ids_.restore(serialized, clock_.now());
+    }
     // The number of requests in flight, including answered ones that have attempts in flight.
     [[nodiscard]] std::size_t in_flight() const noexcept { return requests_.size(); }
 
@@ -64,6 +72,7 @@
     void execute(const decision::CancelAttempt& action);
 
   private:
+    [[nodiscard]] bool is_idempotent(int request_class) const;
     void reject_invalid(decision::RequestId id, const RequestError& error);
     void report_not_sent(const decision::SendAttempt& action, int attempt, bool answered);
     void answer(decision::RequestId id, InFlightRequest& request, Answer&& answer);
@@ -82,6 +91,7 @@
     Listeners& listeners_;
     const RequestValidator validator_;
     InFlightRequests requests_;
+    ExecutedTraceIds executed_trace_ids_;
 };
 
 }  // namespace gateway::server
--- a/src/server/runtime.cpp
+++ b/src/server/runtime.cpp
@@ -43,7 +43,7 @@
                   [this](int from, std::string_view bytes) {
                       dispatcher_.dispatch(decision::MessageArrived{from, std::string(bytes)});
                   }}),
-      upgrade_(io, {config_, budget, dispatcher_, hosts_, pool_, listeners_}),
+      upgrade_(io, {config_, budget, dispatcher_, hosts_, pool_, listeners_, requests_}),
       shutdown_(io, {clock_, config_.settings, guard_, listeners_, requests_, upgrade_}) {
     EndpointList configured = config_.initial_endpoints;
     configured.complete = true;
--- a/src/server/upgrade.cpp
+++ b/src/server/upgrade.cpp
@@ -106,6 +106,7 @@
         case Kind::enter_standby:
         case Kind::leave_standby:
         case Kind::known_host:
+        case Kind::executed_trace_ids:
             if (stage_ == Stage::serving) callbacks_.on_notification(std::move(message));
             else inherited_.notifications.push_back(std::move(message));
             return;
--- a/src/server/upgrade.h
+++ b/src/server/upgrade.h
@@ -20,7 +20,7 @@
     struct InheritedState {
         Descriptor client_listener;
         Descriptor peer_socket;
-        // Messages about bans, standby and the uids of known hosts.
+        // Messages about bans, standby, the uids of known hosts and executed trace ids.
         std::vector<HandoverMessage> notifications;
         // The snapshot of the decision module.
         std::string snapshot;
--- a/src/server/upgrade_coordinator.cpp
+++ b/src/server/upgrade_coordinator.cpp
@@ -12,7 +12,8 @@
 using Kind = HandoverMessage::Kind;
 
 namespace {
-constexpr std::size_t snapshot_chunk_bytes = 32 * 1024;
+constexpr std::size_t chunk_bytes = 32 * 1024;
+static_assert(chunk_bytes % ExecutedTraceIds::serialized_length == 0);
 // The number of sockets that the predecessor may open for further attempts, in addition to the sockets in
 // use.
 constexpr std::size_t sockets_for_further_attempts = 16;
@@ -27,6 +28,11 @@
                   static_cast<unsigned long long>(std::hash<std::string>{}(identity)));
     return text;
 }
+
+void send_in_chunks(HandoverChannel& channel, Kind kind, const std::string& text) {
+    for (std::size_t offset = 0; offset < text.size(); offset += chunk_bytes)
+        channel.send(kind, text.substr(offset, chunk_bytes));
+}
 }  // namespace
 
 UpgradeCoordinator::UpgradeCoordinator(boost::asio::io_context& io, const Dependencies& dependencies)
@@ -36,6 +42,7 @@
       hosts_(dependencies.hosts),
       pool_(dependencies.pool),
       listeners_(dependencies.listeners),
+      requests_(dependencies.requests),
       upgrade_(io,
                HandoverSocket(io, dependencies.config.handover_folder, handover_name(dependencies.config)),
                make_callbacks()) {}
@@ -88,8 +95,8 @@
         successor.send(Kind::peer_socket, {},
                        Descriptor(::fcntl(peers->native_handle(), F_DUPFD_CLOEXEC, 0)));
     }
-    for (std::size_t offset = 0; offset < snapshot_.size(); offset += snapshot_chunk_bytes)
-        successor.send(Kind::snapshot, snapshot_.substr(offset, snapshot_chunk_bytes));
+    send_in_chunks(successor, Kind::snapshot, snapshot_);
+    send_in_chunks(successor, Kind::executed_trace_ids, requests_.trace_ids_for_successor());
     for (const std::string& uid : hosts_.known_names().names()) successor.send(Kind::known_host, uid);
     for (const std::string& uid : pool_.banned()) successor.send(Kind::ban, uid);
     if (listeners_.standby()) successor.send(Kind::enter_standby);
@@ -141,6 +148,8 @@
         case Kind::enter_standby:
         case Kind::leave_standby:
             return listeners_.set_standby(notification.kind == Kind::enter_standby);
+        case Kind::executed_trace_ids:
+            return requests_.add_executed_trace_ids(notification.payload);
         default:
             hosts_.add_known_name(notification.payload);
     }
--- a/src/server/upgrade_coordinator.h
+++ b/src/server/upgrade_coordinator.h
@@ -9,14 +9,15 @@
 #include "host_manager.h"
 #include "host_pool.h"
 #include "listeners.h"
+#include "request_handler.h"
 #include "socket_budget.h"
 #include "upgrade.h"
 
 namespace gateway::server {
 
 // Connects the upgrade protocol with the components whose state is handed over: listeners, connections, bans,
-// standby, known host names and the decision module's snapshot. During an upgrade, the two processes share
-// the limit on descriptors.
+// standby, known host names, executed trace ids and the decision module's snapshot. During an upgrade, the
+// two processes share the limit on descriptors.
 class UpgradeCoordinator {
   public:
     // All dependencies must outlive the coordinator, but need not be constructed before `begin`.
@@ -27,6 +28,7 @@
         HostManager& hosts;
         HostPool& pool;
         Listeners& listeners;
+        RequestHandler& requests;
     };
     UpgradeCoordinator(boost::asio::io_context& io, const Dependencies& dependencies);
 
@@ -61,6 +63,7 @@
     HostManager& hosts_;
     HostPool& pool_;
     Listeners& listeners_;
+    RequestHandler& requests_;
     std::string snapshot_;
     Upgrade upgrade_;
 };
--- a/tests/server/client_disconnect_test.cpp
+++ b/tests/server/client_disconnect_test.cpp
@@ -132,5 +132,30 @@
     EXPECT_EQ(staying.answers()[0].result_int(), 200u);
 }
 
+// Regression: a client that left and sent its request again had it executed twice, also a request that is not
+// idempotent.
+TEST_F(GatewayTest, ARequestThatComesAgainAfterItsClientHasLeftIsNotExecutedTwice) {
+    extra_ceilings = R"("cancel":true,)";
+    on_request = [](auto&) {};
+    ASSERT_TRUE(becomes_ready());
+    const auto post = [](const std::string& id) {
+        return request(id, "Content-Length: 0\r\n", "book").replace(0, 3, "POST");
+    };
+    {
+        Client leaving(io, address());
+        leaving.send(post("a"));
+        ASSERT_TRUE(run_until(io, [&] { return host.requests.size() == 1; }));
+        leaving.close();
+    }
+    ASSERT_TRUE(run_until(io, [&] { return host.peers[0]->closed; }));
+    on_request = [](auto& peer) { peer.ok("served"); };
+    Client again(io, address());
+    again.send(post("a") + post("b"));
+    ASSERT_TRUE(answered(again, 2));
+    EXPECT_EQ(again.answers()[0].result_int(), 409u);
+    EXPECT_EQ(again.answers()[1].result_int(), 200u);
+    EXPECT_EQ(host.requests.size(), 2u);
+}
+
 }  // namespace
 }  // namespace gateway::server::test
--- a/tests/server/upgrade_test.cpp
+++ b/tests/server/upgrade_test.cpp
@@ -39,7 +39,8 @@
                R"("tiersOfService":[{"name":"basic","rate":0.01,"mostAtOnce":20,"worthFactor":1},)"
                R"({"name":"wide","rate":10000,"mostAtOnce":10000,"worthFactor":1}],)"
                R"("familyInfo":{"unitsTop":2,"mailPerS":40},)"
-               R"("requestClasses":[{"name":"read","effect":"retryable","deadlineUs":5000000,"value":1}],)"
+               R"("requestClasses":[{"name":"read","effect":"retryable","deadlineUs":5000000,"value":1},)"
+               R"({"name":"book","effect":"fragile","deadlineUs":5000000,"value":1}],)"
                R"("ceilings":{"maxAttempts":1,"peers":true,"retryAfter":true},)"
                R"("guarantees":{"startCapacity":0.2,"coldUs":1000000,"fallUs":1000000}}})";
     }
@@ -143,6 +144,32 @@
     EXPECT_EQ(status_of(fresh, request("d")), 200u);
 }
 
+// Regression: a request that is not idempotent was executed again if its client left and sent it to the other
+// process of an upgrade, before or after the former process had ended it.
+TEST_F(UpgradeTest, ARequestIsNotExecutedAgainByTheSuccessor) {
+    Program first(config(first_admin), handover_folder);
+    ASSERT_TRUE(becomes_ready(first_admin));
+    const auto post = [](const std::string& id) {
+        std::string text = request(id);
+        text.replace(text.find("X-Qos: read"), 11, "X-Qos: book");
+        return text.replace(0, 3, "POST").insert(text.find("\r\n"), "\r\nContent-Length: 0");
+    };
+    Client served(io, loopback(listen)), leaving(io, loopback(listen));
+    ASSERT_EQ(status_of(served, post("a")), 200u);
+    on_request = [](auto&, const auto&) {};
+    leaving.send(post("b"));
+    ASSERT_TRUE(run_until(io, [&] { return host.requests.size() + other.requests.size() == 2; }));
+    Program next(config(next_admin), handover_folder);
+    ASSERT_TRUE(becomes_ready(next_admin));
+    leaving.close();
+    on_request = [](auto& peer, const auto& name) { peer.ok(name); };
+    Client fresh(io, loopback(listen));
+    EXPECT_EQ(status_of(fresh, post("a")), 409u);
+    EXPECT_EQ(status_of(fresh, post("b")), 409u);
+    EXPECT_EQ(status_of(fresh, post("c")), 200u);
+    EXPECT_EQ(host.requests.size() + other.requests.size(), 3u);
+}
+
 TEST_F(UpgradeTest, QuotaUsedBeforeTheUpgradeStaysUsed) {
     Program first(config(first_admin), handover_folder);
     ASSERT_TRUE(becomes_ready(first_admin));
