Drop the timers of answered requests when the timer queue grows

Operators saw memory grow by 2 MB a second while one client sent small requests at full speed on one connection.

Cause: an entry of TimerQueue stays until it is due, and a request that is rejected at once leaves two or more behind until its deadline.

The new test fails at the first entry beyond the limit if the compaction is left out.

The queue drops entries whose request has been answered or has ended once it has 16,384, and again at twice what is left.

--- a/include/gateway/interface.h
+++ b/include/gateway/interface.h
@@ -315,6 +315,9 @@
     // Handles one event at clock time `now` and appends the resulting actions in the order of their
     // execution.
     void handle(Micros now, const Event& event, std::vector<Action>& actions);
+    // Whether the timer with this token still has to fire. A timer whose request has been completed may be
+    // dropped.
+    [[nodiscard]] bool awaits_timer(std::uint64_t token) const;
 
   private:
     class Impl;
--- a/src/decision/context.h
+++ b/src/decision/context.h
@@ -28,6 +28,12 @@
     inherited_in_flight,  // attempts of the predecessor process count as ended (none)
 };
 
+// Whether the subject of a timer of this kind is a request.
+[[nodiscard]] constexpr bool belongs_to_request(TimerKind kind) {
+    return kind == TimerKind::deadline || kind == TimerKind::release || kind == TimerKind::silence_check ||
+           kind == TimerKind::expiry || kind == TimerKind::health_check;
+}
+
 // Shared by reference between the modules, which it must outlive.
 class Context {
   public:
--- a/src/decision/gateway.cpp
+++ b/src/decision/gateway.cpp
@@ -22,6 +22,11 @@
         std::visit([this](const auto& occurred) { on(occurred); }, event);
     }
 
+    [[nodiscard]] bool awaits_timer(std::uint64_t token) const {
+        const auto [kind, subject] = read_timer_token(token);
+        return !belongs_to_request(kind) || flow_.contains(subject);
+    }
+
   private:
     Context& context() { return modules_.context; }
 
@@ -133,5 +138,6 @@
 void Gateway::handle(Micros now, const Event& event, std::vector<Action>& actions) {
     impl_->handle(now, event, actions);
 }
+bool Gateway::awaits_timer(std::uint64_t token) const { return impl_->awaits_timer(token); }
 
 }  // namespace gateway::decision
--- a/src/decision/request_flow.h
+++ b/src/decision/request_flow.h
@@ -24,6 +24,8 @@
     void on_client_disconnected(const ClientDisconnected& client);
     void on_health_check_ended(const HealthCheckEnded& check);
     void on_timer(TimerKind kind, RequestId id);
+    // Whether the request has arrived and is not completed.
+    [[nodiscard]] bool contains(RequestId id) const { return requests_.contains(id); }
 
     void on_lease_grant(int from, const LeaseGrant& grant);
     void on_lease_timeout(std::uint32_t nonce);
--- a/src/server/request_handler.cpp
+++ b/src/server/request_handler.cpp
@@ -308,6 +308,11 @@
     fail_with_timeout(id, *request);
 }
 
+bool RequestHandler::awaits_answer(decision::RequestId id) {
+    const InFlightRequest* const request = requests_.find(id);
+    return request != nullptr && !request->answered;
+}
+
 void RequestHandler::fail_unanswered() {
     for (const decision::RequestId id : requests_.unanswered()) {
         InFlightRequest* const request = requests_.find(id);
--- a/src/server/request_handler.h
+++ b/src/server/request_handler.h
@@ -53,6 +53,8 @@
 
     // Answers a request with 504 if the decision module has not answered it by its deadline.
     void on_deadline(decision::RequestId id);
+    // Whether the request is in flight and has no answer.
+    [[nodiscard]] bool awaits_answer(decision::RequestId id);
     // Answers each unanswered request with 504.
     void fail_unanswered();
     // Returns the trace ids that the successor in an upgrade must not forward, in the form of
--- a/src/server/runtime.cpp
+++ b/src/server/runtime.cpp
@@ -31,7 +31,9 @@
       guard_(config.settings),
       timers_(io, clock_,
               {[this](std::uint64_t token) { dispatcher_.dispatch(decision::TimerFired{token}); },
-               [this](decision::RequestId request) { requests_.on_deadline(request); }}),
+               [this](decision::RequestId request) { requests_.on_deadline(request); },
+               [this](std::uint64_t token) { return gateway_.awaits_timer(token); },
+               [this](decision::RequestId request) { return requests_.awaits_answer(request); }}),
       dispatcher_(
           gateway_, clock_, [this](decision::Action& action) { execute(action); }, [this] { timers_.arm(); }),
       hosts_(guard_, dispatcher_, pool_),
--- a/src/server/timer_queue.h
+++ b/src/server/timer_queue.h
@@ -3,9 +3,9 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
-#include <queue>
 #include <vector>
 
 #include "clock.h"
@@ -13,8 +13,9 @@
 
 namespace gateway::server {
 
-// A priority queue of clock times. Entries are never cancelled: the owner has to ignore those that no longer
-// apply.
+// A priority queue of clock times. Entries are not cancelled: the owner has to ignore those that no longer
+// apply. The queue drops such entries when it has grown, so that its size depends on the entries that apply
+// and not on the rate of requests.
 class TimerQueue {
   public:
     struct Callbacks {
@@ -22,7 +23,12 @@
         std::function<void(std::uint64_t token)> on_timer;
         // A request's deadline has been reached.
         std::function<void(decision::RequestId request)> on_deadline = {};
+        // Whether an entry still applies. If a callback is not set, all entries of its kind do.
+        std::function<bool(std::uint64_t token)> awaits_timer = {};
+        std::function<bool(decision::RequestId request)> awaits_deadline = {};
     };
+    // Entries that no longer apply are dropped only if there are at least this many entries.
+    static constexpr std::size_t min_entries_to_compact = 16 * 1024;
 
     // `clock` must outlive the queue.
     TimerQueue(boost::asio::io_context& io, const Clock& clock, Callbacks callbacks);
@@ -32,6 +38,8 @@
     void add_deadline(Micros due, decision::RequestId request);
     // Schedules the wake-up for the earliest entry.
     void arm();
+    // The number of entries, including those that no longer apply.
+    [[nodiscard]] std::size_t size() const noexcept { return entries_.size(); }
 
   private:
     struct Entry {
@@ -42,11 +50,17 @@
         std::uint64_t id;
         bool operator>(const Entry& other) const { return due > other.due; }
     };
+    void add(const Entry& entry);
+    [[nodiscard]] Entry take_earliest();
+    [[nodiscard]] bool applies(const Entry& entry) const;
+    // Drops the entries that no longer apply.
+    void compact();
     void run_due();
 
     const Clock& clock_;
     Callbacks callbacks_;
-    std::priority_queue<Entry, std::vector<Entry>, std::greater<>> entries_;
+    std::vector<Entry> entries_;  // a heap with the earliest entry first
+    std::size_t compact_at_size_ = min_entries_to_compact;
     boost::asio::steady_timer wake_up_;
     // The time of the scheduled wake-up; the maximum value: none is scheduled.
     Micros armed_for_ = Micros::max();
--- a/tests/server/timer_queue_test.cpp
+++ b/tests/server/timer_queue_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -48,5 +49,28 @@
     EXPECT_TRUE(fired.empty());
 }
 
+// Regression: the timers of requests that had long been answered stayed in memory until they were due, so
+// that one client that sent small requests at full speed let the memory grow up to the longest deadline.
+TEST_F(TimerQueueTest, DropsEntriesThatNoLongerApplyWhenItGrows) {
+    constexpr std::uint64_t entries = 10 * TimerQueue::min_entries_to_compact;
+    constexpr std::uint64_t applying_every = 1000;
+    const auto applies = [](std::uint64_t id) { return id % applying_every == 0; };
+    TimerQueue growing(
+        io, clock,
+        {[this](std::uint64_t token) { fired.push_back(std::to_string(token)); },
+         [this](decision::RequestId id) { fired.push_back(std::to_string(id)); }, applies, applies});
+    const Micros due = clock.now() + 1s;
+    for (std::uint64_t id = 0; id < entries; ++id) {
+        if (id % 2 == 0) growing.add_timer(due, id);
+        else growing.add_deadline(due, id);
+        ASSERT_LE(growing.size(), 2 * TimerQueue::min_entries_to_compact);
+    }
+    growing.arm();
+    io.run();
+    const auto count = std::count_if(fired.begin(), fired.end(),
+                                     [&](const std::string& id) { return applies(std::stoull(id)); });
+    EXPECT_EQ(static_cast<std::uint64_t>(count), (entries + applying_every - 1) / applying_every);
+}
+
 }  // namespace
 }  // namespace gateway::server::test
