--- a/src/server/host_response_reader.cpp
+++ b/src/server/host_response_reader.cpp
@@ -53,12 +53,7 @@
         // If the length is ambiguous, it is unknown whether a body is complete and to which response the
         // bytes after it belong.
         if (in_header && header_done && !interim && !has_valid_length()) return Progress::malformed;
-        if (header_done && !may_be_streamed()) {
-            discard_unused_body();
-            // The memory and the time for a body that is not streamed are limited by its size alone: the body
-            // may never end.
-            if (exceeds_buffered_body()) return Progress::malformed;
-        }
+        if (header_done && !limit_body()) return Progress::malformed;
         parser_->eager(header_done);
         if (parser_->is_done()) {
             if (!interim) return Progress::complete;
@@ -102,6 +97,14 @@
 
 bool HostResponseReader::needs_streaming() const { return may_be_streamed() && exceeds_buffered_body(); }
 
+// The memory and the time for a body that is not streamed are limited by its size alone: the body may never
+// end.
+bool HostResponseReader::limit_body() {
+    if (may_be_streamed()) return true;
+    discard_unused_body();
+    return !exceeds_buffered_body();
+}
+
 void HostResponseReader::discard_unused_body() {
     if (parser_->get().result() == http::status::ok) return;
     discarded_bytes_ += body().size();
--- a/src/server/host_response_reader.h
+++ b/src/server/host_response_reader.h
@@ -76,6 +76,8 @@
     [[nodiscard]] bool exceeds_buffered_body() const;
     // Whether the response may be streamed, if its body is long. Requires that the header is complete.
     [[nodiscard]] bool may_be_streamed() const;
+    // Returns false if a body that may not be streamed is too long. Requires that the header is complete.
+    [[nodiscard]] bool limit_body();
     // Discards the parsed part of a body that nobody uses.
     void discard_unused_body();
     // Returns false if the final response can't follow: after 101, or beyond the limit of interim responses.
