Start long answers without a length in time instead of cutting them off

Cause: an answer was passed on only once 64 KiB of it, or its Content-Length, proved it long. One without a length waited in the buffer, and the deadline of the last byte, which holds for short answers, ended it. The same limit of the whole answer was applied in four places: the module's deadline, the attempt's timeout, the answer before SIGKILL, and the check for silent hosts, whose cancel cut such an answer off where hedging is not allowed.

Change: the server reports a response of unknown length when its header arrives (ResponseArriving). An attempt with an arriving response is not cancelled as silent. The attempt's timeout and the shutdown start such a response too. While it may still prove short, its host may pause for 3 s, then 10 s as before.

New log lines response_arriving, response_discarded and response_aborted, more keys on response_started, and two metrics tell why an answer was passed on or ended.

--- a/include/gateway/interface.h
+++ b/include/gateway/interface.h
@@ -187,6 +187,13 @@
     double actual_units = 0;         // units that the request actually used; 0: unknown
     LoadReport report;
 };
+// The header of a successful answer without a length has arrived, and the answer is not complete yet. It may
+// be longer than the process can hold back, and its client has to get the first part of a long answer in
+// time.
+struct ResponseArriving {
+    RequestId id = 0;
+    int attempt = 0;  // number of the attempt, counted from 0
+};
 // The first part of a streamed answer was sent to the client, which completes the request. The attempt stays
 // in flight until the answer ends.
 struct ResponseStarted {
@@ -225,9 +232,9 @@
     std::string bytes;
 };
 
-using Event =
-    std::variant<HostsChanged, HostBanned, RequestArrived, AttemptEnded, ResponseStarted, HealthCheckEnded,
-                 ClientDisconnected, MessageArrived, TimerFired, HandedOver, RestoreSnapshot>;
+using Event = std::variant<HostsChanged, HostBanned, RequestArrived, AttemptEnded, ResponseStarted,
+                           HealthCheckEnded, ClientDisconnected, MessageArrived, TimerFired, HandedOver,
+                           RestoreSnapshot, ResponseArriving>;
 
 // Actions, the output of `Gateway::handle`.
 
@@ -281,6 +288,13 @@
     RequestId id;
     int attempt;
 };
+// Sends the part of an arriving answer that the process has to the client, and the rest as it arrives,
+// instead of waiting for the complete answer. ResponseStarted reports that, unless the attempt has ended:
+// then AttemptEnded does.
+struct StreamResponse {
+    RequestId id;
+    int attempt;
+};
 // Sends a health check. HealthCheckEnded reports its result.
 struct CheckHealth {
     std::string host;
@@ -301,7 +315,7 @@
 };
 
 using Action = std::variant<SendAttempt, RejectRequest, FailRequest, CancelAttempt, CheckHealth, SetTimer,
-                            SendMessage, SaveSnapshot>;
+                            SendMessage, SaveSnapshot, StreamResponse>;
 
 // Decides for one gateway. Decisions are deterministic: equal settings, seed and events give equal actions.
 class Gateway {
--- a/src/decision/context.cpp
+++ b/src/decision/context.cpp
@@ -9,6 +9,7 @@
 using namespace std::chrono_literals;
 
 constexpr std::uint64_t timer_kind_count = 10;
+static_assert(static_cast<std::uint64_t>(TimerKind::inherited_in_flight) + 1 == timer_kind_count);
 constexpr Micros heartbeat_interval = 100ms;
 // The process was stalled if no heartbeat occurred for longer than this time.
 constexpr Micros stall_threshold = 300ms;
--- a/src/decision/context.h
+++ b/src/decision/context.h
@@ -16,10 +16,11 @@
 // contain, so the order of the enumerators must not change. The subject of the timer's token is given in
 // parentheses. For `request`, it is the id of the request.
 enum class TimerKind {
-    deadline,             // the client's deadline has passed (request)
-    release,              // the warm-up limiter releases the request (request)
-    silence_check,        // the answer to an attempt is overdue (request)
-    expiry,               // a request that waits for a host, a lease or a permit is checked again (request)
+    deadline,       // the client's deadline has passed (request)
+    release,        // the warm-up limiter releases the request (request)
+    silence_check,  // the answer to an attempt is overdue (request)
+    // A request that waits for a host, a lease, a permit or the rest of an answer is checked again (request).
+    expiry,
     lease_request,        // the answer to a lease request is overdue (nonce of the lease request)
     health_check,         // the results of health checks are overdue (request)
     flush,                // the outbox of a peer is sent (rank of the peer)
--- a/src/decision/gateway.cpp
+++ b/src/decision/gateway.cpp
@@ -32,6 +32,7 @@
 
     void on(const RequestArrived& arrival) { flow_.on_arrived(arrival); }
     void on(const AttemptEnded& ended) { flow_.on_attempt_ended(ended); }
+    void on(const ResponseArriving& response) { flow_.on_response_arriving(response); }
     void on(const ResponseStarted& response) { flow_.on_response_started(response); }
     void on(const ClientDisconnected& client) { flow_.on_client_disconnected(client); }
     void on(const HealthCheckEnded& check) { flow_.on_health_check_ended(check); }
--- a/src/decision/request.h
+++ b/src/decision/request.h
@@ -11,6 +11,12 @@
 
 namespace gateway::decision {
 
+// An answer of unknown length that is arriving for one attempt.
+struct ArrivingResponse {
+    int attempt = 0;
+    Micros since{0};  // time at which its header had arrived
+};
+
 // Exists from the request's arrival until it has its final answer or its client has disconnected.
 struct Request {
     RequestArrived arrival;
@@ -30,6 +36,8 @@
     int health_checks_in_flight = 0;
 
     RequestHistory history;
+    std::vector<ArrivingResponse> arriving;  // of attempts in flight, in the order of their headers
+    Micros stream_at{0};                     // time until which the arriving responses are held back
     AttemptReason next_reason = AttemptReason::first;
     Micros last_sent_at{0};
     std::string last_host;
--- a/src/decision/request_admission.cpp
+++ b/src/decision/request_admission.cpp
@@ -4,6 +4,7 @@
 #include <variant>
 
 #include "request_flow.h"
+#include "tuning.h"
 
 namespace gateway::decision {
 namespace {
@@ -15,10 +16,6 @@
 constexpr double max_margin_share = 0.8;
 // Inherited attempts count as in flight for this multiple of the mean response time.
 constexpr double inherited_responses = 2;
-
-// Timers fire at multiples of the tick. A request with at most this number of ticks left cannot be answered
-// in time.
-constexpr int min_ticks_left = 2;
 }  // namespace
 
 RequestFlow::RequestFlow(Modules& modules) : context_(modules.context), modules_(modules) {}
--- a/src/decision/request_dispatch.cpp
+++ b/src/decision/request_dispatch.cpp
@@ -152,14 +152,8 @@
         give_up(*request, RejectionReason::deadline_exceeded);
     } else if (kind == TimerKind::release) {
         dispatch(*request);
-    } else if (kind == TimerKind::expiry && request->queued) {
-        request->health_check_rounds = 0;
-        dispatch(*request);
-    } else if (kind == TimerKind::expiry && !request->admitted && context_.now() >= request->latest_start) {
-        // After its latest start, the request could not be sent even if a grant arrived. Without this timer,
-        // lost lease requests and slow lease holders would delay the rejection until shortly before the
-        // client gives up.
-        give_up(*request, RejectionReason::no_lease_in_time);
+    } else if (kind == TimerKind::expiry) {
+        check_waiting(*request);
     } else if (kind == TimerKind::silence_check) {
         check_for_silence(*request);
     } else if (kind == TimerKind::health_check && request->checking_health) {
@@ -168,6 +162,19 @@
     dispatch_queued();
 }
 
+void RequestFlow::check_waiting(Request& request) {
+    check_arriving_responses(request);
+    if (request.queued) {
+        request.health_check_rounds = 0;
+        dispatch(request);
+    } else if (!request.admitted && context_.now() >= request.latest_start) {
+        // After its latest start, the request could not be sent even if a grant arrived. Without this timer,
+        // lost lease requests and slow lease holders would delay the rejection until shortly before the
+        // client gives up.
+        give_up(request, RejectionReason::no_lease_in_time);
+    }
+}
+
 void RequestFlow::on_attempt_ended(const AttemptEnded& ended) {
     Request* const request = find(ended.id);
     if (Host* const host = modules_.hosts.find(ended.host)) record_outcome(*host, ended, request);
@@ -175,6 +182,9 @@
     if (request != nullptr) {
         customer = request->customer;
         request->history.end_attempt(ended.attempt, ended.outcome);
+        std::erase_if(request->arriving, [&ended](const ArrivingResponse& arriving) {
+            return arriving.attempt == ended.attempt;
+        });
         customer->permits.in_flight = std::max(0, customer->permits.in_flight - 1);
         if (ended.actual_units > 0 && context_.settings().units_settled_later && request->within_quota)
             QuotaLeases::correct(*customer, request->arrival.units, ended.actual_units);
@@ -245,7 +255,7 @@
         if (!modules_.retries.take_retry()) return;
         request.next_reason = AttemptReason::hedge;
         try_send(request);
-    } else if (settings.may_cancel) {
+    } else if (settings.may_cancel && request.arriving.empty()) {
         context_.emit(CancelAttempt{request.arrival.id, request.history.count() - 1});
     }
 }
@@ -268,6 +278,7 @@
 }
 
 void RequestFlow::give_up(Request& request, RejectionReason reason) {
+    if (stream_arriving_response(request)) return;
     if (RequestRules::may_reject(class_of(request), request.history)) {
         const Micros wait = request.forwarded ? 0us : to_micros(modules_.load.response_s());
         return reject(request, wait, reason);
--- a/src/decision/request_flow.h
+++ b/src/decision/request_flow.h
@@ -20,6 +20,7 @@
 
     void on_arrived(const RequestArrived& arrival);
     void on_attempt_ended(const AttemptEnded& ended);
+    void on_response_arriving(const ResponseArriving& response);
     void on_response_started(const ResponseStarted& response);
     void on_client_disconnected(const ClientDisconnected& client);
     void on_health_check_ended(const HealthCheckEnded& check);
@@ -89,9 +90,18 @@
     void hedge_or_cancel(Request& request);
     void retry(Request& request);
 
+    // Handles the expiry of a timer of a request that waits for a host, a lease, a permit or an answer's end.
+    void check_waiting(Request& request);
+    // Has an arriving response streamed that has been held back for long enough.
+    void check_arriving_responses(Request& request);
+    void hold_back(Request& request);
+    // Has the response streamed whose header arrived last. Returns false if none is arriving.
+    bool stream_arriving_response(Request& request);
+
     void record_outcome(Host& host, const AttemptEnded& ended, const Request* request);
-    // Completes the request without an answer from a host. Rejects it if it was not executed or if a second
-    // execution is harmless, and otherwise fails it.
+    // Completes the request without a complete answer from a host. Has an arriving answer streamed. Rejects a
+    // request without one if it was not executed or if a second execution is harmless, and otherwise fails
+    // it.
     void give_up(Request& request, RejectionReason reason);
     void reject(Request& request, Micros retry_after, RejectionReason reason);
     // Removes a completed request and releases its reserved units and permits.
--- a/src/decision/tuning.h
+++ b/src/decision/tuning.h
@@ -19,6 +19,10 @@
 // Time for which a host's load report is valid, and for which a host with a failed health check is ejected.
 inline constexpr Micros load_report_lifetime = std::chrono::milliseconds(250);
 
+// Timers fire at multiples of the tick. A request with at most this number of ticks left cannot be answered
+// in time.
+inline constexpr int min_ticks_left = 2;
+
 // Response times up to this share of the latency objective count as fast. Slower ones lower the concurrency
 // limits of hosts.
 inline constexpr double slow_response_share = 0.25;
--- a/src/server/host_connection.cpp
+++ b/src/server/host_connection.cpp
@@ -22,7 +22,10 @@
 constexpr std::chrono::milliseconds connect_retry_backoff = 10ms;
 // A streamed response is aborted if its host sends nothing for this long while the gateway is ready to read.
 // The client's side of the response is limited by client_limits::write_timeout.
-constexpr std::chrono::milliseconds stall_timeout = 10s;
+constexpr std::chrono::milliseconds long_response_stall_timeout = 10s;
+// The same for a response that may still turn out to be short. Its client waits for the end beyond the
+// deadline, which holds for the last byte of a short response.
+constexpr std::chrono::milliseconds undecided_response_stall_timeout = 3s;
 // The request buffer of an idle connection is released if its capacity exceeds this.
 constexpr std::size_t max_idle_buffer_bytes = 4096;
 
@@ -102,6 +105,8 @@
     deadline_ = phase_started_at_ + timeout;
     streaming_ = false;
     awaiting_resume_ = false;
+    response_announced_ = false;
+    forwarded_bytes_ = 0;
     reader_.start(body);
     if (state_ == State::idle && earliest_write > phase_started_at_) {
         state_ = State::resting;
@@ -122,10 +127,21 @@
 
 void HostConnection::resume_reading() {
     if (!std::exchange(awaiting_resume_, false) || state_ == State::closed) return;
-    set_deadline(Steady::now() + stall_timeout);
+    set_deadline(Steady::now() + stall_timeout());
     read();
 }
 
+std::chrono::milliseconds HostConnection::stall_timeout() const {
+    const bool undecided = reader_.may_become_long() && forwarded_bytes_ <= max_buffered_body_bytes;
+    return undecided ? undecided_response_stall_timeout : long_response_stall_timeout;
+}
+
+bool HostConnection::stream_arriving(StreamReason reason) {
+    const bool arriving = state_ == State::awaiting_response && response_announced_ && !streaming_;
+    if (arriving) begin_streaming(reason);
+    return arriving;
+}
+
 bool HostConnection::adopt(Descriptor&& socket, std::chrono::microseconds idle_for) {
     error_code ec;
     socket_.assign(endpoint_.protocol(), socket.get(), ec);
@@ -206,6 +222,8 @@
     else if (state_ == State::writing || state_ == State::awaiting_response) {
         const auto now = Steady::now();
         if (now < deadline_ && now >= delivery_deadline_) return on_delivery_deadline();
+        // The deadline holds for the first bytes of a long response.
+        if (stream_arriving(StreamReason::deadline)) return;
         finish_without_response(HostOutcome::timeout);
     }
 }
@@ -261,8 +279,10 @@
 // Waits until the socket is readable and then reads synchronously. An asynchronous read could complete before
 // its handler runs, and has_no_pending_input() would not see the bytes that it had consumed.
 void HostConnection::read() {
+    if (std::exchange(read_pending_, true)) return;
     socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code ec) {
-        if (self->state_ == State::closed) return;
+        self->read_pending_ = false;
+        if (self->state_ == State::closed || self->awaiting_resume_) return;
         run_contained(
             "host", [&] { self->on_readable(ec); }, [&] { self->on_handler_error(); });
     });
@@ -301,24 +321,46 @@
 
 bool HostConnection::stream_response() {
     if (state_ != State::awaiting_response || !reader_.header_complete()) return true;
-    if (!streaming_) return !reader_.needs_streaming() || begin_streaming();
+    if (!streaming_ && !reader_.needs_streaming()) {
+        announce_response();
+        return state_ != State::closed && !awaiting_resume_;
+    }
+    if (!streaming_) {
+        time_to_stream_start_ = elapsed_since(phase_started_at_, Steady::now());
+        begin_streaming(StreamReason::long_body);
+        return false;
+    }
     if (reader_.body().empty()) {
-        set_deadline(Steady::now() + stall_timeout);
+        set_deadline(Steady::now() + stall_timeout());
         return true;
     }
+    forward_piece();
+    return false;
+}
+
+void HostConnection::forward_piece() {
     awaiting_resume_ = true;
     set_deadline(Steady::time_point::max());
+    forwarded_bytes_ += reader_.body().size();
     owner_.on_response_piece(key_, std::exchange(reader_.body(), {}));
-    return false;
 }
 
-bool HostConnection::begin_streaming() {
+void HostConnection::announce_response() {
+    if (response_announced_ || is_health_check_ || !reader_.may_become_long()) return;
+    response_announced_ = true;
+    time_to_stream_start_ = elapsed_since(phase_started_at_, Steady::now());
+    const auto self = shared_from_this();
+    owner_.on_response_arriving(key_);
+}
+
+void HostConnection::begin_streaming(StreamReason reason) {
     streaming_ = true;
     delivery_deadline_ = Steady::time_point::max();
-    time_to_stream_start_ = elapsed_since(phase_started_at_, Steady::now());
+    forwarded_bytes_ += reader_.body().size();
     HostResult result;
     result.outcome = HostOutcome::success;
     result.elapsed = time_to_stream_start_;
+    result.stream_reason = reason;
     result.answer.base() = reader_.header();
     result.answer.body() = std::exchange(reader_.body(), {});
     awaiting_resume_ = true;
@@ -326,7 +368,6 @@
     set_deadline(Steady::time_point::max());
     const auto self = shared_from_this();
     if (!owner_.on_response_begun(key_, host_->uid, std::move(result))) cancel();
-    return false;
 }
 
 void HostConnection::finish_with_response() {
@@ -348,6 +389,8 @@
     if (delivery_deadline_ != Steady::time_point::max()) discard_undelivered_output();
     HostResult result;
     result.outcome = outcome;
+    if (reader_.active() && reader_.header_complete())
+        result.partial_body_bytes = forwarded_bytes_ + reader_.body().size();
     report_result(std::move(result), false);
 }
 
--- a/src/server/host_connection.h
+++ b/src/server/host_connection.h
@@ -51,6 +51,9 @@
     virtual void on_health_check_result(const std::string& uid, HostResult&& result) = 0;
     // Whether long responses are streamed. Otherwise they count as malformed.
     [[nodiscard]] virtual bool streams_responses() const = 0;
+    // The header of a successful response without a length has arrived, and the response is incomplete.
+    // Called at most once for each attempt.
+    virtual void on_response_arriving(const AttemptKey& key) = 0;
     // The header and the first part of a streamed response have arrived. Returns false to cancel the attempt.
     [[nodiscard]] virtual bool on_response_begun(const AttemptKey& key, const std::string& uid,
                                                  HostResult&& result) = 0;
@@ -108,6 +111,9 @@
     void cancel() { finish_without_response(HostOutcome::cancelled); }
     // Ends the exchange if its request is unsent.
     void end_if_unsent(HostOutcome outcome);
+    // Starts to stream the response whose header has arrived, without waiting for more of it. Returns false
+    // if no response is arriving that may be streamed.
+    bool stream_arriving(StreamReason reason);
     // Continues to read a streamed response after the piece that was received last has been forwarded.
     void resume_reading();
 
@@ -151,7 +157,11 @@
     // Forwards the received part of a response that is streamed. Returns false if reading has to pause until
     // `resume_reading` is called.
     [[nodiscard]] bool stream_response();
-    [[nodiscard]] bool begin_streaming();
+    void begin_streaming(StreamReason reason);
+    void forward_piece();
+    void announce_response();
+    // The time for which the host may send nothing while a response is streamed.
+    [[nodiscard]] std::chrono::milliseconds stall_timeout() const;
 
     void finish_with_response();
     void finish_without_response(HostOutcome outcome);
@@ -176,7 +186,12 @@
     bool connect_failed_locally_ = false;  // whether the last connect failed because of this machine
     bool streaming_ = false;               // whether forwarding of a streamed response has begun
     bool awaiting_resume_ = false;         // whether reading pauses while a piece is being forwarded
-    // Time from the start of the exchange until forwarding of a streamed response began.
+    bool read_pending_ = false;            // whether a handler waits until the socket is readable
+    bool response_announced_ = false;      // whether the owner knows that the response is arriving
+    // The part of the current response's body that has been forwarded.
+    std::size_t forwarded_bytes_ = 0;
+    // Time from the start of the exchange until the header of an arriving response was complete, or until the
+    // response proved to be long.
     std::chrono::microseconds time_to_stream_start_{0};
     // Start of the exchange, or of the idle time if the connection is idle.
     Steady::time_point phase_started_at_;
--- a/src/server/host_pool.cpp
+++ b/src/server/host_pool.cpp
@@ -71,6 +71,10 @@
 
 bool HostPool::streams_responses() const { return static_cast<bool>(callbacks_.on_response_started); }
 
+void HostPool::on_response_arriving(const AttemptKey& key) {
+    if (callbacks_.on_response_arriving) callbacks_.on_response_arriving(key);
+}
+
 bool HostPool::on_response_begun(const AttemptKey& key, const std::string& uid, HostResult&& result) {
     return callbacks_.on_response_started(key, uid, std::move(result));
 }
@@ -218,6 +222,11 @@
     if (const auto connection = connection_of(key)) connection->cancel();
 }
 
+bool HostPool::stream_arriving(const AttemptKey& key, StreamReason reason) {
+    const auto connection = connection_of(key);
+    return connection && connection->stream_arriving(reason);
+}
+
 void HostPool::resume_reading(const AttemptKey& key) {
     if (const auto connection = connection_of(key)) connection->resume_reading();
 }
--- a/src/server/host_pool.h
+++ b/src/server/host_pool.h
@@ -33,6 +33,9 @@
         std::function<void(const AttemptKey&, const std::string& uid, HostResult&&)> on_attempt_result;
         // Called exactly once with the result of each health check, possibly before `check_health` returns.
         std::function<void(const std::string& uid, HostResult&&)> on_health_check_result;
+        // Called when the header of a successful response without a length has arrived and the response is
+        // incomplete, at most once for each attempt.
+        std::function<void(const AttemptKey&)> on_response_arriving = {};
         // Called with the header and the first part of the body of a successful response that is streamed.
         // Reading from the host pauses until `resume_reading` is called. Returns false to cancel the attempt,
         // if no client waits for the response any more. If this callback is not set, no response is streamed,
@@ -69,6 +72,9 @@
     void cancel(const AttemptKey& key);
     // Ends the attempts of the request that are unsent, with the outcome `withdrawn`.
     void cancel_unsent(std::uint64_t request);
+    // Starts to stream the response that is arriving for the attempt, without waiting for more of it. Returns
+    // false if there is none that may be streamed.
+    bool stream_arriving(const AttemptKey& key, StreamReason reason);
     // Continues to read a streamed response after a piece of it has been forwarded.
     void resume_reading(const AttemptKey& key);
     // Sends a health check to the host.
@@ -98,6 +104,7 @@
     void on_attempt_result(const AttemptKey& key, const std::string& uid, HostResult&& result) override;
     void on_health_check_result(const std::string& uid, HostResult&& result) override;
     bool streams_responses() const override;
+    void on_response_arriving(const AttemptKey& key) override;
     bool on_response_begun(const AttemptKey& key, const std::string& uid, HostResult&& result) override;
     void on_response_piece(const AttemptKey& key, std::string&& piece) override;
 
--- a/src/server/host_response_reader.h
+++ b/src/server/host_response_reader.h
@@ -64,6 +64,9 @@
     // Whether the response has to be streamed: its body is known to exceed `max_buffered_body_bytes`, by its
     // parsed part or its Content-Length. Requires that the header is complete.
     [[nodiscard]] bool needs_streaming() const;
+    // Whether the response may turn out to be long enough to be streamed: it has no Content-Length. Requires
+    // that the header is complete.
+    [[nodiscard]] bool may_become_long() const { return may_be_streamed() && !parser_->content_length(); }
     // Returns the response. Requires that it is complete.
     [[nodiscard]] http::response<StreamedBody> release() { return parser_->release(); }
 
--- a/src/server/host_result.h
+++ b/src/server/host_result.h
@@ -2,7 +2,9 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "http.h"
@@ -26,6 +28,11 @@
     // The complete response; for a streamed response, its header and the last piece of its body. Empty if the
     // exchange ended without a response.
     Answer answer;
+    // Why the response is streamed. Set only for the first part of a streamed response.
+    StreamReason stream_reason = StreamReason::long_body;
+    // The number of body bytes that had arrived if the exchange ended after the response's header and before
+    // its end.
+    std::optional<std::size_t> partial_body_bytes;
     // The value of the response's load report header, unparsed; empty if the response has none.
     std::string load_report;
 };
--- a/src/server/metrics.cpp
+++ b/src/server/metrics.cpp
@@ -35,6 +35,8 @@
     add_family(text, "api_gateway_failures_total", "reason", failures_);
     add_family(text, "api_gateway_attempts_begun_total", "reason", attempts_begun_);
     add_family(text, "api_gateway_attempts_ended_total", "outcome", attempts_ended_);
+    add_family(text, "api_gateway_responses_streamed_total", "reason", responses_streamed_);
+    add_family(text, "api_gateway_responses_incomplete_total", "outcome", responses_incomplete_);
     add_family(text, "api_gateway_client_connections_closed_total", "reason", client_closes_);
     add_family(text, "api_gateway_host_connections_closed_total", "reason", host_closes_);
     add_type(text, "api_gateway_sends_blocked_total");
--- a/src/server/metrics.h
+++ b/src/server/metrics.h
@@ -26,6 +26,9 @@
     void request_failed(decision::RejectionReason reason) { ++failures_[decision::to_string(reason)]; }
     void attempt_begun(decision::AttemptReason reason) { ++attempts_begun_[decision::to_string(reason)]; }
     void attempt_ended(HostOutcome outcome) { ++attempts_ended_[to_string(outcome)]; }
+    void response_streamed(StreamReason reason) { ++responses_streamed_[to_string(reason)]; }
+    // Counts a response that a client waited for and that ended after its header, by the attempt's outcome.
+    void response_incomplete(HostOutcome outcome) { ++responses_incomplete_[to_string(outcome)]; }
     void client_closed(ClientCloseReason reason) { ++client_closes_[to_string(reason)]; }
     void host_closed(HostCloseReason reason) { ++host_closes_[to_string(reason)]; }
 
@@ -42,6 +45,8 @@
     CountByName failures_;
     CountByName attempts_begun_;
     CountByName attempts_ended_;
+    CountByName responses_streamed_;
+    CountByName responses_incomplete_;
     CountByName client_closes_;
     CountByName host_closes_;
 };
--- a/src/server/reasons.cpp
+++ b/src/server/reasons.cpp
@@ -26,6 +26,18 @@
     return "unknown";
 }
 
+const char* to_string(StreamReason reason) noexcept {
+    switch (reason) {
+        case StreamReason::long_body:
+            return "long_body";
+        case StreamReason::decision:
+            return "decision";
+        case StreamReason::deadline:
+            return "deadline";
+    }
+    return "unknown";
+}
+
 const char* to_string(HostCloseReason reason) noexcept {
     switch (reason) {
         case HostCloseReason::exchange_failed:
--- a/src/server/reasons.h
+++ b/src/server/reasons.h
@@ -20,6 +20,15 @@
 // Returns the name in logs and metrics.
 [[nodiscard]] const char* to_string(HostOutcome outcome) noexcept;
 
+// Why a response is streamed before it is complete.
+enum class StreamReason {
+    long_body,  // it is too long to be buffered
+    decision,   // the decision module does not hold it back any longer
+    deadline,   // it has no length, and the request has to be answered now
+};
+// Returns the name in logs and metrics.
+[[nodiscard]] const char* to_string(StreamReason reason) noexcept;
+
 // Why a connection to a host was closed.
 enum class HostCloseReason {
     exchange_failed,  // the exchange ended by a timeout, cancellation, reset or failed connect
--- a/src/server/request_handler.cpp
+++ b/src/server/request_handler.cpp
@@ -144,6 +144,7 @@
         .with("host", uid)
         .with("outcome", to_string(result.outcome))
         .with("took", result.elapsed);
+    if (result.partial_body_bytes) log_incomplete_response(key, uid, result, *request);
     const bool answers_request = result.outcome == HostOutcome::success && !request->answered;
     if (request->streaming_attempt == key.attempt) {
         request->streaming_attempt.reset();
@@ -165,6 +166,33 @@
     });
 }
 
+// Logs and counts a response that ended after its header, by the host or by the gateway.
+void RequestHandler::log_incomplete_response(const HostPool::AttemptKey& key, const std::string& uid,
+                                             const HostResult& result, const InFlightRequest& request) {
+    const bool streamed = request.streaming_attempt == key.attempt;
+    // Nobody waits for the response if its client has disconnected or has another attempt's response.
+    const bool awaited = streamed ? result.outcome != HostOutcome::cancelled : !request.answered;
+    if (awaited) metrics_.response_incomplete(result.outcome);
+    LogLine(awaited ? LogLevel::info : LogLevel::debug, streamed ? "response_aborted" : "response_discarded")
+        .with("request", key.request)
+        .with("trace", request.trace_id)
+        .with("attempt", key.attempt)
+        .with("host", uid)
+        .with("outcome", to_string(result.outcome))
+        .with("bytes", *result.partial_body_bytes)
+        .with("left", request.deadline - clock_.now());
+}
+
+void RequestHandler::on_response_arriving(const HostPool::AttemptKey& key) {
+    const InFlightRequest* const request = requests_.find(key.request);
+    if (request == nullptr || request->answered) return;
+    LogLine(LogLevel::debug, "response_arriving")
+        .with("request", key.request)
+        .with("trace", request->trace_id)
+        .with("attempt", key.attempt);
+    dispatcher_.dispatch(decision::ResponseArriving{key.request, key.attempt});
+}
+
 // Starts to stream a response to the client. From then on, the speed of the client determines how long the
 // attempt takes. The attempt ends when the host has sent everything or the client disconnects.
 bool RequestHandler::on_response_started(const HostPool::AttemptKey& key, const std::string& uid,
@@ -174,7 +202,13 @@
     request->streaming_attempt = key.attempt;
     LogLine(LogLevel::debug, "response_started")
         .with("request", key.request)
-        .with("trace", request->trace_id);
+        .with("trace", request->trace_id)
+        .with("attempt", key.attempt)
+        .with("host", uid)
+        .with("reason", to_string(result.stream_reason))
+        .with("bytes", result.answer.body().size())
+        .with("left", request->deadline - clock_.now());
+    metrics_.response_streamed(result.stream_reason);
     metrics_.answered(result.answer.result_int());
     guard_.answered(key.request, clock_.now());
     dispatcher_.dispatch_before(decision::ResponseStarted{key.request, uid},
@@ -258,6 +292,16 @@
     pool_.cancel({action.id, action.attempt});
 }
 
+void RequestHandler::execute(const decision::StreamResponse& action) {
+    pool_.stream_arriving({action.id, action.attempt}, StreamReason::decision);
+}
+
+bool RequestHandler::stream_arriving(decision::RequestId id, const InFlightRequest& request) {
+    for (int attempt = request.attempts_started; attempt-- > 0;)
+        if (pool_.stream_arriving({id, attempt}, StreamReason::deadline)) return true;
+    return false;
+}
+
 void RequestHandler::answer(decision::RequestId id, InFlightRequest& request, Answer&& answer) {
     if (request.answered) return;
     const Micros now = clock_.now();
@@ -321,6 +365,7 @@
 }
 
 void RequestHandler::fail_with_timeout(decision::RequestId id, InFlightRequest& request) {
+    if (stream_arriving(id, request)) return;
     answer(id, request, make_answer(http::status::gateway_timeout));
     dispatcher_.dispatch(decision::ClientDisconnected{id});
 }
--- a/src/server/request_handler.h
+++ b/src/server/request_handler.h
@@ -47,15 +47,18 @@
 
     // Events of host connections.
     void on_attempt_ended(const HostPool::AttemptKey& key, const std::string& uid, HostResult&& result);
+    // A response without a length is arriving.
+    void on_response_arriving(const HostPool::AttemptKey& key);
     // A streamed response begins. Returns false if the request needs no answer any more.
     [[nodiscard]] bool on_response_started(const HostPool::AttemptKey& key, const std::string& uid,
                                            HostResult&& result);
 
-    // Answers a request with 504 if the decision module has not answered it by its deadline.
+    // Answers a request if the decision module has not done so by its deadline: with the response that is
+    // arriving, if there is one, and otherwise with 504.
     void on_deadline(decision::RequestId id);
     // Whether the request is in flight and has no answer.
     [[nodiscard]] bool awaits_answer(decision::RequestId id);
-    // Answers each unanswered request with 504.
+    // Answers each unanswered request in the same way.
     void fail_unanswered();
     // Returns the trace ids that the successor in an upgrade must not forward, in the form of
     // `ExecutedTraceIds`.
@@ -72,14 +75,19 @@
     void execute(const decision::RejectRequest& action);
     void execute(const decision::FailRequest& action);
     void execute(const decision::CancelAttempt& action);
+    void execute(const decision::StreamResponse& action);
 
   private:
     [[nodiscard]] bool is_idempotent(int request_class) const;
     void reject_invalid(decision::RequestId id, const RequestError& error);
+    void log_incomplete_response(const HostPool::AttemptKey& key, const std::string& uid,
+                                 const HostResult& result, const InFlightRequest& request);
     void report_not_sent(const decision::SendAttempt& action, int attempt, bool answered);
     void answer(decision::RequestId id, InFlightRequest& request, Answer&& answer);
     void finish_request(decision::RequestId id, InFlightRequest& request);
     void erase_if_finished(decision::RequestId id);
+    // Starts to stream the response that is arriving for the request. Returns false if there is none.
+    bool stream_arriving(decision::RequestId id, const InFlightRequest& request);
     void fail_with_timeout(decision::RequestId id, InFlightRequest& request);
     [[nodiscard]] ClientServer& clients() { return *listeners_.clients(); }
 
--- a/src/server/runtime.cpp
+++ b/src/server/runtime.cpp
@@ -64,6 +64,7 @@
     callbacks.on_health_check_result = [this](const auto& uid, HostResult&& result) {
         hosts_.on_health_check_ended(uid, std::move(result));
     };
+    callbacks.on_response_arriving = [this](const auto& key) { requests_.on_response_arriving(key); };
     callbacks.on_response_started = [this](const auto& key, const auto& uid, HostResult&& result) {
         return requests_.on_response_started(key, uid, std::move(result));
     };
--- a/src/simulator_adapter/action_writer.cpp
+++ b/src/simulator_adapter/action_writer.cpp
@@ -98,6 +98,8 @@
         line.add(action.from_now);
         line.add_token(action.token);
     }
+    // The simulator reports complete answers only, so no event that it sends leads to this action.
+    void operator()(const StreamResponse&) const {}
     // Snapshots are part of an upgrade, which the simulator does not support: no event that it sends leads to
     // this action.
     void operator()(const SaveSnapshot&) const {}
--- a/tests/server/slow_response_test.cpp
+++ b/tests/server/slow_response_test.cpp
@@ -133,5 +133,74 @@
             }
 }
 
+// A gateway with one host that writes its responses slowly, in the test process.
+struct SlowResponseTest : GatewayTest {
+    Client send(std::chrono::milliseconds expires_in) {
+        Client client(io, address());
+        client.send(request("a", "", "read", expires_in));
+        return client;
+    }
+};
+
+// SIGKILL may come before the deadline of the request, so the response has to start before the latest end.
+TEST_F(SlowResponseTest, AShutdownDoesNotCutOffAResponseThatHasBegunToArriveBeforeTheLatestEnd) {
+    const std::string body = body_of(100'000);
+    on_request = [](auto&) {};
+    ASSERT_TRUE(becomes_ready());
+    const Client client = send(15000ms);
+    ASSERT_TRUE(run_until(io, [&] { return host.requests.size() == 1; }));
+    bool done = false;
+    gateway().drain([&] { done = true; });
+    constexpr auto latest_end = 700ms + 3000ms - 150ms;
+    EXPECT_TRUE(time_passes(latest_end - 500ms));
+    writes_slowly(body, Framing::chunked, {4000, 60ms})(*host.peers[0]);
+    ASSERT_TRUE(run_until(io, [&] { return !client.answers().empty() || client.closed(); }));
+    ASSERT_EQ(client.answers().size(), 1u);
+    EXPECT_TRUE(client.answers()[0].body() == body);
+    EXPECT_TRUE(run_until(io, [&] { return done; }));
+}
+
+TEST_F(SlowResponseTest, AHostThatHangsInAShortResponseWithoutALengthIsGivenUpSoonAfterTheStart) {
+    on_request = writes_slowly(body_of(30'000), Framing::chunked, {1000, 10ms, 5000});
+    ASSERT_TRUE(becomes_ready());
+    const Client client = send(300ms);
+    ASSERT_TRUE(run_until(io, [&] { return !client.received().empty(); }));
+    const auto started_at = std::chrono::steady_clock::now();
+    ASSERT_TRUE(run_until(io, [&] { return client.closed(); }));
+    EXPECT_LT(std::chrono::steady_clock::now() - started_at, 5s);
+    EXPECT_TRUE(client.answers().empty()) << "the client cannot tell that the response is incomplete";
+}
+
+TEST_F(SlowResponseTest, APauseInALongResponseIsWaitedFor) {
+    const std::string body = body_of(130'000);
+    on_request = writes_slowly(body, Framing::until_close, {65'000, 1800ms});
+    ASSERT_TRUE(becomes_ready());
+    const Client client = send(300ms);
+    ASSERT_TRUE(run_until(io, [&] { return !client.answers().empty() || client.closed(); }));
+    ASSERT_EQ(client.answers().size(), 1u);
+    EXPECT_TRUE(client.answers()[0].body() == body);
+}
+
+TEST_F(SlowResponseTest, AShortResponseWithALengthStillEndsAtTheDeadline) {
+    on_request = [](auto& peer) { peer.send("HTTP/1.1 200 OK\r\nContent-Length: 20000\r\n\r\nfirst part"); };
+    ASSERT_TRUE(becomes_ready());
+    const Client client = send(300ms);
+    ASSERT_TRUE(answered(client));
+    EXPECT_NE(client.answers()[0].result_int(), 200u);
+}
+
+TEST_F(SlowResponseTest, AClientThatLeavesDuringTheResponseEndsTheAttempt) {
+    on_request = writes_slowly(body_of(200'000), Framing::chunked, {4000, 40ms});
+    ASSERT_TRUE(becomes_ready());
+    Client client = send(300ms);
+    ASSERT_TRUE(run_until(io, [&] { return !client.received().empty(); }));
+    client.close();
+    EXPECT_TRUE(run_until(io, [&] {
+        error_code ec;
+        host.peers[0]->socket.available(ec);
+        return host.peers[0]->closed || ec;
+    }));
+}
+
 }  // namespace
 }  // namespace gateway::server::test
