Fault soak: slow answers, signals in series, crowds, and SIGKILL at the earliest time

New kinds: host_trickles (answers of 70 to 220 KB, steady or in lumps, with a length, chunked or until the close, and short ones that hang), host_reads_slowly, signal_series (SIGHUPs, then SIGTERM and further signals until the end), restart_in_turn (three gateways) and crowd (420 idle connections against 384 descriptors).

Clients use an open connection until the gateway closes it, also after the load balancer has turned away. SIGKILL follows SIGTERM after the longest deadline plus 0.7 s; the margin of 0.1 s is gone. The oracle checks that a sound answer over 64 KiB is not cut off, times such an answer by its first byte, and no longer excuses a request that came more than 0.7 s after SIGTERM if the gateway must have read it before it ended.

--- a/tools/fault_soak/client.cpp
+++ b/tools/fault_soak/client.cpp
@@ -34,6 +34,12 @@
 constexpr int large_body_one_in = 10;
 // Time after the deadline of a request during which its client still waits for the response.
 constexpr Duration response_grace = 700ms;
+// Time without a further byte after which a client gives up a response that may be long.
+constexpr Duration long_response_patience = 5s;
+constexpr std::size_t max_short_body_bytes = 64 * 1024;
+constexpr std::size_t max_body_bytes = std::size_t{32} << 20;
+// A gateway that closes a connection this long after a request was sent must have read the request.
+constexpr Duration unread_close_limit = 300ms;
 // For one request in this many, the client disconnects before it receives the response. The first number
 // applies while ClientBehaviour::disconnects_early is set, the second one otherwise.
 constexpr int early_disconnect_one_in = 3;
@@ -89,6 +95,9 @@
 }
 
 int Client::choose_gateway() {
+    // A client uses its open connection until the gateway closes it, also if new connections go elsewhere.
+    if (socket_.is_open() && gateway_ >= 0 && !load_balancer_.in_rotation[static_cast<std::size_t>(gateway_)])
+        return gateway_;
     const int count = static_cast<int>(load_balancer_.gateways.size());
     const int preferred = number_ % count;
     const auto& in_rotation = load_balancer_.in_rotation;
@@ -165,7 +174,8 @@
     if (random_() % in_pieces_one_in == 0) {
         co_await write_in_pieces(request, error);
     } else {
-        oracle_.request_sent(request.trace, request.idempotency, gateway_, Clock::now(), request.deadline);
+        request.sent = Clock::now();
+        oracle_.request_sent(request.trace, request.idempotency, gateway_, request.sent, request.deadline);
         co_await asio::async_write(socket_, asio::buffer(request.text), into(error));
     }
     bool closed_unread = false;
@@ -183,22 +193,24 @@
     const Duration piece_pause(static_cast<std::int64_t>(random_() % piece_pause_limit_ms));
     co_await sleep_for(io_, piece_pause);
     request.deadline += piece_pause;
-    oracle_.request_sent(request.trace, request.idempotency, gateway_, Clock::now(), request.deadline);
+    request.sent = Clock::now();
+    oracle_.request_sent(request.trace, request.idempotency, gateway_, request.sent, request.deadline);
     if (error) co_return;
     co_await asio::async_write(socket_, asio::buffer(request.text.data() + half, request.text.size() - half),
                                into(error));
 }
 
-Task Client::resend(const Request& request) {
+Task Client::resend(Request request) {
     co_await connect(gateway_);
     if (!socket_.is_open())
         co_return oracle_.excuse(request.trace, "the gateway no longer accepts connections");
-    oracle_.request_resent(request.trace, gateway_, Clock::now());
+    request.sent = Clock::now();
+    oracle_.request_resent(request.trace, gateway_, request.sent);
     error_code error;
     co_await asio::async_write(socket_, asio::buffer(request.text), into(error));
     bool closed_unread = false;
     if (!error) co_await await_response(request, closed_unread);
-    else oracle_.closed_unanswered(request.trace, Clock::now());
+    else oracle_.closed_unanswered(request.trace, Clock::now(), false);
 }
 
 Task Client::await_response(const Request& request, bool& closed_unread) {
@@ -209,15 +221,37 @@
     const Time until = disconnects && time_left > min_time_left_to_disconnect
                            ? draw_disconnect(time_left)
                            : request.deadline + response_grace + behaviour_.slack;
-    Watchdog watchdog(io_, socket_, until);
-    http::response_parser<http::string_body> parser;
+    ResponseParser parser;
+    parser.body_limit(max_body_bytes);
     error_code error;
-    co_await http::async_read(socket_, buffer_, parser, into(error));
-    if (watchdog.fired()) {
+    bool given_up = false;
+    {
+        Watchdog watchdog(io_, socket_, until);
+        co_await http::async_read_header(socket_, buffer_, parser, into(error));
+        given_up = watchdog.fired();
+    }
+    const Time first_byte_at = Clock::now();
+    const auto length = parser.content_length();
+    const bool may_be_long = !length || *length > max_short_body_bytes;
+    if (!error && !given_up)
+        given_up = co_await read_body(
+            parser, disconnects || !may_be_long ? std::optional(until) : std::nullopt, error);
+    if (given_up) {
         if (disconnects) oracle_.client_disconnected(request.trace, until);
         co_return;
     }
-    record_response(request, error, parser, closed_unread);
+    record_response(request, error, parser, first_byte_at, closed_unread);
+}
+
+asio::awaitable<bool> Client::read_body(ResponseParser& parser, std::optional<Time> until,
+                                        error_code& error) {
+    parser.eager(true);
+    while (!error && !parser.is_done()) {
+        Watchdog watchdog(io_, socket_, until.value_or(Clock::now() + long_response_patience));
+        co_await http::async_read_some(socket_, buffer_, parser, into(error));
+        if (watchdog.fired()) co_return true;
+    }
+    co_return false;
 }
 
 Time Client::draw_disconnect(Duration time_left) {
@@ -225,13 +259,13 @@
     return Clock::now() + Duration(static_cast<std::int64_t>(random_() % limit));
 }
 
-void Client::record_response(const Request& request, error_code error,
-                             const http::response_parser<http::string_body>& parser, bool& closed_unread) {
+void Client::record_response(const Request& request, error_code error, const ResponseParser& parser,
+                             Time first_byte_at, bool& closed_unread) {
     const Time now = Clock::now();
     error_code ignored;
     if (!error) {
         const auto& response = parser.get();
-        oracle_.response_received(request.trace, response.result_int(), response.body(), now);
+        oracle_.response_received(request.trace, response.result_int(), response.body(), first_byte_at, now);
         reused_ = true;
         if (!response.keep_alive()) socket_.close(ignored);
         return;
@@ -239,9 +273,13 @@
     socket_.close(ignored);
     // A response that breaks off after its first bytes counts as failed and not as unanswered, because the
     // client can see that the response is incomplete.
-    if (parser.got_some()) return oracle_.response_received(request.trace, 0, {}, now);
-    closed_unread = reused_;
-    if (!closed_unread) oracle_.closed_unanswered(request.trace, now);
+    if (parser.got_some()) return oracle_.response_received(request.trace, 0, {}, first_byte_at, now);
+    const bool read = now > request.sent + unread_close_limit + behaviour_.slack;
+    closed_unread = reused_ && !read;
+    if (closed_unread) return;
+    if (!reused_ && behaviour_.crowded[static_cast<std::size_t>(gateway_)])
+        return oracle_.excuse(request.trace, "a crowded gateway closed a new connection");
+    oracle_.closed_unanswered(request.trace, now, read);
 }
 
 }  // namespace fault_soak
--- a/tools/fault_soak/client.h
+++ b/tools/fault_soak/client.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,9 @@
 struct ClientBehaviour {
     // Many clients disconnect before they have received their response.
     bool disconnects_early = false;
+    // For each gateway, whether idle clients use up its descriptors. It may close new connections unread
+    // then.
+    std::vector<bool> crowded;
     // Clients send no further requests.
     bool stopped = false;
     // Added to time limits, because a busy machine can delay the soak itself.
@@ -42,6 +46,7 @@
         std::string trace;
         std::string text;
         Idempotency idempotency = Idempotency::idempotent;
+        Time sent;
         Time deadline;
     };
     struct RequestClass;
@@ -61,9 +66,15 @@
     Time draw_disconnect(Duration time_left);
     // Sends the request once more, on a new connection. This is necessary when the gateway closes an idle
     // connection while the next request is in transit, because the gateway has not read that request.
-    Task resend(const Request& request);
-    void record_response(const Request& request, error_code error,
-                         const http::response_parser<http::string_body>& parser, bool& closed_unread);
+    Task resend(Request request);
+    using ResponseParser = http::response_parser<http::string_body>;
+
+    // Reads a response whose header has arrived to its end. Returns whether the client has given up by then.
+    // `until`: the time until which the client waits; empty: as long as the response keeps arriving.
+    [[nodiscard]] asio::awaitable<bool> read_body(ResponseParser& parser, std::optional<Time> until,
+                                                  error_code& error);
+    void record_response(const Request& request, error_code error, const ResponseParser& parser,
+                         Time first_byte_at, bool& closed_unread);
 
     asio::io_context& io_;
     int number_;
--- a/tools/fault_soak/fault_injector.h
+++ b/tools/fault_soak/fault_injector.h
@@ -25,6 +25,10 @@
     // Faults of gateways (gateway_faults.cpp).
 
     Task restart_gateway(Fault fault);
+    // Sends several SIGHUPs, then SIGTERM and further signals until the process has ended, and restarts it.
+    Task signal_gateway_in_series(Fault fault);
+    // Restarts several gateways one after the other, the next before the one before has ended.
+    Task restart_gateways_in_turn(Fault fault);
     Task kill_gateway(Fault fault);
     Task upgrade_gateway(Fault fault);
     Task pause_gateway(Fault fault);
@@ -55,6 +59,8 @@
     Task step_wall_clock(Fault fault);
     Task run_bad_clients(Fault fault);
     Task disconnect_clients(Fault fault);
+    // Opens more idle connections to a gateway than it has descriptors.
+    Task crowd_gateway(Fault fault);
 
   private:
     [[nodiscard]] GatewayUnderTest& gateway_of(const Fault& fault);
@@ -65,6 +71,9 @@
     [[nodiscard]] bool claim_target(const Fault& fault);
     void release_target(const Fault& fault);
     Task sleep_for(Clock::duration duration);
+    // Ends a gateway by SIGTERM, further signals at the given interval, and SIGKILL when its time is over.
+    Task shut_down_gateway(int number, Duration signal_interval);
+    Task restart_later(Fault fault, Duration delay);
     // Polls a process until it has exited or the time `until` is reached.
     Task await_exit(GatewayProcess& process, Time until);
     // Sends a POST request to the admin server. `succeeded` is set to whether it answered 200.
--- a/tools/fault_soak/fault_kinds.cpp
+++ b/tools/fault_soak/fault_kinds.cpp
@@ -23,6 +23,10 @@
 
     // Sends SIGTERM, then SIGKILL when the grace period is over, and starts the gateway again.
     {"gateway_restart", FaultTarget::gateway, inject<&Injector::restart_gateway>},
+    // Sends several SIGHUPs, then SIGTERM and further signals, and starts the gateway again.
+    {"signal_series", FaultTarget::gateway, inject<&Injector::signal_gateway_in_series>},
+    // Restarts several gateways in turn.
+    {"restart_in_turn", FaultTarget::gateway, inject<&Injector::restart_gateways_in_turn>},
     // Sends SIGKILL at once and starts the gateway again.
     {"gateway_kill", FaultTarget::gateway, inject<&Injector::kill_gateway>},
     // Sends SIGHUP after writing a configuration that moves discovery to another address.
@@ -52,6 +56,10 @@
     {"host_spoilt", FaultTarget::host, inject<&Injector::set_host_mode, HostMode::corrupting>},
     // The host takes longer to answer.
     {"host_slow", FaultTarget::host, inject<&Injector::set_host_mode, HostMode::slow>},
+    // The host writes long responses slowly, in all framings.
+    {"host_trickles", FaultTarget::host, inject<&Injector::set_host_mode, HostMode::trickling>},
+    // The host reads requests slowly.
+    {"host_reads_slowly", FaultTarget::host, inject<&Injector::set_host_mode, HostMode::reading_slowly>},
     // The host closes or resets connections that carry no request.
     {"host_drops_idle", FaultTarget::host, inject<&Injector::drop_idle_connections>},
 
@@ -107,6 +115,8 @@
     // Clients send incomplete requests, floods of bytes, lines without an end and bytes that are not a
     // request.
     {"bad_clients", FaultTarget::other, inject<&Injector::run_bad_clients>},
+    // Idle clients use up the descriptors of a gateway.
+    {"crowd", FaultTarget::gateway, inject<&Injector::crowd_gateway>},
     // Many clients disconnect before they receive their response.
     {"clients_leave", FaultTarget::other, inject<&Injector::disconnect_clients>},
     // Operators ban a host at one gateway and lift the ban later.
--- a/tools/fault_soak/fault_proxy.cpp
+++ b/tools/fault_soak/fault_proxy.cpp
@@ -19,6 +19,10 @@
     reset(gateway);
     reset(host);
 }
+void FaultProxy::Pipe::break_by_fault() {
+    *origin.broken_by_fault = true;
+    reset_both();
+}
 
 FaultProxy::FaultProxy(asio::io_context& io, int gateways, std::vector<tcp::endpoint> hosts)
     : io_(io), host_count_(hosts.size()) {
@@ -37,7 +41,7 @@
 
 void FaultProxy::reset_connections(int gateway, int host) {
     for (const auto& weak : std::exchange(link(gateway, host).pipes, {}))
-        if (const auto pipe = weak.lock()) pipe->reset_both();
+        if (const auto pipe = weak.lock()) pipe->break_by_fault();
 }
 
 const FaultProxy::Origin* FaultProxy::origin(std::uint16_t port) const {
@@ -96,7 +100,7 @@
         const std::size_t size = co_await source.async_read_some(asio::buffer(bytes), into(error));
         if (link.faults.silent) {
             while (link.faults.silent) co_await sleep_for(io_, silence_poll_interval);
-            co_return pipe->reset_both();
+            co_return pipe->break_by_fault();
         }
         if (error == asio::error::eof) co_return pipe->close();
         if (error) co_return pipe->reset_both();
--- a/tools/fault_soak/fault_proxy.h
+++ b/tools/fault_soak/fault_proxy.h
@@ -29,6 +29,8 @@
         int gateway = -1;
         // Time of the first byte of the latest request.
         Time first_byte_at;
+        // Becomes true when a fault of the link breaks the connection. Outlives the connection.
+        std::shared_ptr<bool> broken_by_fault = std::make_shared<bool>(false);
     };
 
     FaultProxy(asio::io_context& io, int gateways, std::vector<tcp::endpoint> hosts);
@@ -54,6 +56,8 @@
         bool awaits_request = true;
         void close();
         void reset_both();
+        // Resets both connections as a fault of the link.
+        void break_by_fault();
     };
     struct Link {
         Link(asio::io_context& io, int from, tcp::endpoint to)
--- a/tools/fault_soak/gateway_faults.cpp
+++ b/tools/fault_soak/gateway_faults.cpp
@@ -1,6 +1,8 @@
 // Faults of gateways: restarts, kills, upgrades, pauses, reloads and operators' admin calls.
+#include <algorithm>
 #include <csignal>
 #include <fstream>
+#include <utility>
 
 #include "fault_injector.h"
 #include "text.h"
@@ -19,6 +21,12 @@
 constexpr std::uint64_t pause_spread_ms = 100;
 // A killed gateway stays down for the length of the fault divided by this.
 constexpr int kill_down_time_divisor = 4;
+constexpr Duration shortest_age_at_reload = 1s;
+constexpr std::uint64_t max_reloads_in_series = 3;
+constexpr std::uint64_t signal_interval_limit_ms = 250;
+constexpr Duration signal_interval_in_shutdown = 200ms;
+constexpr int gateways_in_turn = 3;
+constexpr Duration interval_in_turn = 500ms;
 constexpr const char* status_request = "GET /status HTTP/1.1\r\nHost: x\r\n\r\n";
 
 }  // namespace
@@ -28,29 +36,68 @@
 }
 
 Task FaultInjector::restart_gateway(Fault fault) {
-    GatewayUnderTest& gateway = gateway_of(fault);
+    co_await shut_down_gateway(fault.gateway, shutdown_time);
+    testbed_.start_process(fault.gateway, gateway_of(fault).admin);
+    co_await testbed_.await_ready(fault.gateway);
+}
+
+Task FaultInjector::shut_down_gateway(int number, Duration signal_interval) {
+    GatewayUnderTest& gateway = testbed_.gateway(number);
     const Time terminated = Clock::now();
-    testbed_.oracle.gateway_terminated(fault.gateway, terminated);
+    testbed_.oracle.gateway_terminated(number, terminated);
     gateway.process->signal(SIGTERM);
     // The load balancer notices the restart only after a delay. Clients use their open connections until the
     // gateway closes them.
     co_await sleep_for(load_balancer_delay);
-    testbed_.set_in_rotation(fault.gateway, false);
-    co_await await_exit(*gateway.process, terminated + shutdown_time);
+    testbed_.set_in_rotation(number, false);
+    const Time killed = terminated + shutdown_time;
+    for (int signals = 0; !gateway.process->exited() && Clock::now() < killed; ++signals) {
+        co_await await_exit(*gateway.process, std::min<Time>(killed, Clock::now() + signal_interval));
+        if (Clock::now() < killed) gateway.process->signal(signals % 2 == 0 ? SIGHUP : SIGTERM);
+    }
     if (!gateway.process->exited()) {
         gateway.process->signal(SIGKILL);
-        testbed_.oracle.gateway_killed(fault.gateway, Clock::now());
+        testbed_.oracle.gateway_killed(number, Clock::now());
         while (!gateway.process->exited()) co_await sleep_for(process_poll_interval);
     } else if (gateway.process->wait_status() != 0) {
         testbed_.oracle.report(Invariant::no_crash, "",
-                               concat("gateway ", fault.gateway, " did not shut down gracefully"),
-                               Clock::now());
+                               concat("gateway ", number, " did not shut down gracefully"), Clock::now());
     }
-    testbed_.oracle.gateway_exited(fault.gateway, Clock::now(), true);
+    testbed_.oracle.gateway_exited(number, Clock::now(), true);
+}
+
+Task FaultInjector::signal_gateway_in_series(Fault fault) {
+    GatewayUnderTest& gateway = gateway_of(fault);
+    // The platform sends no SIGHUP in the first second of a process.
+    co_await sleep_for(shortest_age_at_reload);
+    const std::uint64_t reloads = 1 + fault.variation % max_reloads_in_series;
+    for (std::uint64_t reload = 0; reload < reloads; ++reload) {
+        gateway.agent_address = 1 - gateway.agent_address;
+        testbed_.write_config(fault.gateway, gateway.admin);
+        gateway.process->signal(SIGHUP);
+        co_await sleep_for(Duration(static_cast<std::int64_t>(fault.variation % signal_interval_limit_ms)));
+    }
+    co_await shut_down_gateway(fault.gateway, signal_interval_in_shutdown);
     testbed_.start_process(fault.gateway, gateway.admin);
     co_await testbed_.await_ready(fault.gateway);
 }
 
+Task FaultInjector::restart_gateways_in_turn(Fault fault) {
+    for (int next = 1; next < gateways_in_turn; ++next) {
+        Fault further = fault;
+        further.gateway = (fault.gateway + next) % testbed_.options.plan.gateways;
+        if (further.gateway == fault.gateway || std::exchange(gateway_of(further).changing, true)) continue;
+        asio::co_spawn(testbed_.io, restart_later(further, next * interval_in_turn), asio::detached);
+    }
+    co_await restart_gateway(fault);
+}
+
+Task FaultInjector::restart_later(Fault fault, Duration delay) {
+    co_await sleep_for(delay);
+    co_await restart_gateway(fault);
+    release_target(fault);
+}
+
 Task FaultInjector::kill_gateway(Fault fault) {
     GatewayUnderTest& gateway = gateway_of(fault);
     gateway.process->signal(SIGKILL);
--- a/tools/fault_soak/host_stub.h
+++ b/tools/fault_soak/host_stub.h
@@ -28,6 +28,10 @@
     corrupting,
     // Takes longer to answer.
     slow,
+    // Writes long responses slowly, with and without a length, and hangs in some short ones.
+    trickling,
+    // Reads requests slowly.
+    reading_slowly,
     // Resets every connection as soon as the host accepts it.
     down,
 };
@@ -53,6 +57,8 @@
         std::string trace;
         // The index that Oracle::attempt_received() returned.
         std::size_t attempt = 0;
+        // Whether a fault of the link has broken the connection.
+        std::shared_ptr<const bool> broken_by_fault;
     };
     struct Connection {
         explicit Connection(tcp::socket&& accepted) : socket(std::move(accepted)) {}
@@ -70,6 +76,10 @@
     Task respond_unexecuted(tcp::socket& socket, const AttemptRecord& record);
     Task respond_with_error(tcp::socket& socket, const AttemptRecord& record);
     Task respond_corrupted(tcp::socket& socket, const AttemptRecord& record);
+    Task respond_slowly(tcp::socket& socket, const AttemptRecord& record);
+    Task hang_in_response(tcp::socket& socket);
+    Task read_request(tcp::socket& socket, boost::beast::flat_buffer& buffer, HttpRequest& request,
+                      error_code& error);
     Task execute();
     Task wait_while_hanging();
     Task send(tcp::socket& socket, std::string text);
--- a/tools/fault_soak/machine_faults.cpp
+++ b/tools/fault_soak/machine_faults.cpp
@@ -1,6 +1,7 @@
 // Faults of clients, and faults of system calls, which the shim in the gateway processes injects.
 #include "bad_client.h"
 #include "fault_injector.h"
+#include "watchdog.h"
 
 namespace fault_soak {
 namespace {
@@ -10,6 +11,23 @@
 // Length of the fault. The planned length is ignored.
 constexpr Duration bad_clients_time = 4s;
 
+// More connections than the configuration of the gateways allows descriptors.
+constexpr int crowd_size = 420;
+constexpr Duration crowd_reconnect_pause = 100ms;
+
+// Keeps an idle connection open, and connects again when the gateway closes it.
+Task run_idle_client(asio::io_context& io, tcp::endpoint gateway, Time until) {
+    while (Clock::now() < until) {
+        tcp::socket socket(io);
+        Watchdog watchdog(io, socket, until);
+        error_code error;
+        co_await socket.async_connect(gateway, into(error));
+        char byte = 0;
+        if (!error) co_await socket.async_read_some(asio::buffer(&byte, 1), into(error));
+        co_await sleep_for(io, crowd_reconnect_pause);
+    }
+}
+
 }  // namespace
 
 Task FaultInjector::set_shim_rate(Fault fault, ShimRate rate, std::uint32_t thousandths) {
@@ -55,4 +73,19 @@
     testbed_.client_behaviour.disconnects_early = false;
 }
 
+Task FaultInjector::crowd_gateway(Fault fault) {
+    const auto gateway = static_cast<std::size_t>(fault.gateway);
+    std::vector<bool>& crowded = testbed_.client_behaviour.crowded;
+    crowded[gateway] = true;
+    const Time until = Clock::now() + fault.length;
+    for (int client = 0; client < crowd_size; ++client)
+        asio::co_spawn(testbed_.io,
+                       run_idle_client(testbed_.io, testbed_.load_balancer.gateways[gateway], until),
+                       asio::detached);
+    co_await sleep_for(fault.length);
+    // Requests that were sent in the crowd end within their deadlines.
+    co_await sleep_for(OracleSettings{}.longest_deadline);
+    crowded[gateway] = false;
+}
+
 }  // namespace fault_soak
--- a/tools/fault_soak/oracle.h
+++ b/tools/fault_soak/oracle.h
@@ -133,13 +133,16 @@
     // The client has sent the request again because the connection was closed before the request was read.
     void request_resent(const std::string& trace, int gateway, Time at);
     void client_disconnected(const std::string& trace, Time at);
-    // The client has received a response. `status` is 0 for a response that broke off.
-    void response_received(const std::string& trace, unsigned status, const std::string& body, Time at);
+    // The client has received a response, from `first_byte_at` to `at`. `status` is 0 for a response that
+    // broke off.
+    void response_received(const std::string& trace, unsigned status, const std::string& body,
+                           Time first_byte_at, Time at);
     // No response is expected any more, and the gateway is not responsible for the missing response. `reason`
     // is recorded as an event of the request.
     void excuse(const std::string& trace, const char* reason);
-    // The gateway has closed the connection without a response.
-    void closed_unanswered(const std::string& trace, Time at);
+    // The gateway has closed the connection without a response. `read`: whether the gateway must have read
+    // the request before.
+    void closed_unanswered(const std::string& trace, Time at, bool read);
 
     // Events of hosts.
 
@@ -155,6 +158,10 @@
     void attempt_ended(const std::string& trace, std::size_t attempt, HostOutcome outcome,
                        const std::string& body);
 
+    // The gateway has closed the connection of an attempt at `at` while the host was writing a sound response
+    // of over 64 KiB, whose header it had written at `head_at`.
+    void response_cut_off(const std::string& trace, std::size_t attempt, Time head_at, Time at);
+
     // Records a violation.
     void report(Invariant invariant, const std::string& trace, const std::string& text, Time at);
     // Checks the invariants that can be decided only after the run.
@@ -175,6 +182,8 @@
         Time first_byte_at;
         Time received;
         HostOutcome outcome = HostOutcome::no_response;
+        // Times of the response's header and of its end by the gateway, if that came before the host's.
+        std::optional<std::pair<Time, Time>> cut_off;
     };
     struct Request {
         Idempotency idempotency = Idempotency::idempotent;
@@ -186,6 +195,10 @@
         bool excused = false;
         // The connection was closed without a response.
         bool closed = false;
+        // The request had been read when its connection was closed without a response.
+        bool read_before_close = false;
+        // Whether the client has a complete response with status 200.
+        bool served = false;
         std::vector<Attempt> attempts;
         // Collected for trace_text().
         std::vector<std::pair<Time, std::string>> events;
@@ -214,6 +227,9 @@
     [[nodiscard]] GatewayHistory& gateway_history(int gateway);
     [[nodiscard]] HostHistory& host_history(int host);
     [[nodiscard]] bool excused_by_gateway(const Request& request) const;
+    // Whether the request came so late in a shutdown that its answer has to precede SIGKILL.
+    [[nodiscard]] bool sent_late_in_shutdown(const Request& request) const;
+    void check_cut_off(const std::string& trace, const Request& request);
     void check_disconnect(const std::string& trace, const Request& request, const Attempt& attempt);
     void check_deadline(const std::string& trace, const Request& request, const Attempt& attempt,
                         std::int64_t forwarded_ms);
--- a/tools/fault_soak/soak.cpp
+++ b/tools/fault_soak/soak.cpp
@@ -10,7 +10,7 @@
 
 constexpr Duration lateness_poll_interval = 20ms;
 // Time after the end of the load within which all responses are due.
-constexpr Duration responses_due = 2500ms;
+constexpr Duration responses_due = 4000ms;
 
 std::vector<Fault> make_plan(const SoakOptions& options) {
     std::vector<Fault> plan = draw_plan(options.plan);
--- a/tools/fault_soak/testbed.cpp
+++ b/tools/fault_soak/testbed.cpp
@@ -48,6 +48,7 @@
       black_hole(io),
       lists_pushed(options.plan.seed % 3 != 0) {
     client_behaviour.slack = options.slack;
+    client_behaviour.crowded.resize(static_cast<std::size_t>(options.plan.gateways));
     make_hosts();
     make_gateways();
     make_clients();
--- a/tools/fault_soak/testbed.h
+++ b/tools/fault_soak/testbed.h
@@ -28,13 +28,10 @@
 constexpr Duration health_poll_interval = 50ms;
 // Time from SIGTERM or standby until the load balancer takes a gateway out of rotation.
 constexpr Duration load_balancer_delay = 300ms;
-// In a planned restart on the platform, SIGKILL follows SIGTERM after the longest deadline plus
-// `kill_after_longest_deadline`. The soak waits for another `kill_margin` before it sends SIGKILL.
+// Time from SIGTERM to SIGKILL in a planned restart, the shortest that the platform allows: the longest
+// deadline plus `kill_after_longest_deadline`.
 constexpr Duration kill_after_longest_deadline = 700ms;
-constexpr Duration kill_margin = 100ms;
-// Time from SIGTERM to SIGKILL in the soak.
-constexpr Duration shutdown_time =
-    OracleSettings{}.longest_deadline + kill_after_longest_deadline + kill_margin;
+constexpr Duration shutdown_time = OracleSettings{}.longest_deadline + kill_after_longest_deadline;
 
 // One gateway of the run: its addresses, its files and the process that runs it.
 struct GatewayUnderTest {
