Stop listening at the latest end of a shutdown, and forward nothing after it

Now the backlog is accepted, the listener is closed, and a request that still comes is answered with 503 at once, without an attempt.

The new test failed on the code before: the connect succeeded, and the late request got 429 from the decision module instead of the 503 (that it is forwarded in other cases was found by reading, not shown).

--- a/src/server/client_listener.cpp
+++ b/src/server/client_listener.cpp
@@ -128,7 +128,7 @@
 
 bool ClientListener::accept_backlog() {
     // The other process accepts the backlog.
-    if (suspended_) return false;
+    if (suspended_ || !acceptor_.is_open()) return false;
     bool any = false;
     for (error_code ec; accept_one(ec) && !ec;) any = true;
     // An accept may fail temporarily or find no slot in the budget; the remaining connections in the backlog
@@ -136,6 +136,13 @@
     return any || has_backlog();
 }
 
+void ClientListener::close() {
+    if (!acceptor_.is_open()) return;
+    error_code ec;
+    while (!suspended_ && accept_one(ec) && !ec) continue;
+    acceptor_.close(ec);
+}
+
 bool ClientListener::has_backlog() {
     pollfd listener{acceptor_.native_handle(), POLLIN, 0};
     return ::poll(&listener, 1, 0) > 0;
--- a/src/server/client_listener.h
+++ b/src/server/client_listener.h
@@ -41,6 +41,9 @@
     void detach();
     // Accepts all connections in the backlog. Returns whether any was accepted or is left.
     [[nodiscard]] bool accept_backlog();
+    // Accepts the connections in the backlog and closes the socket. Another process that listens on the
+    // address then gets all new connections.
+    void close();
     // Returns a duplicate of the listening socket for another process.
     [[nodiscard]] Descriptor share() const;
     [[nodiscard]] boost::asio::ip::tcp::endpoint local_endpoint() const { return acceptor_.local_endpoint(); }
--- a/src/server/client_server.h
+++ b/src/server/client_server.h
@@ -92,6 +92,8 @@
     // Accepts the connections in the backlog, because a client whose connection the kernel has accepted
     // expects an answer. Returns whether any was accepted or is left.
     [[nodiscard]] bool accept_backlog() { return listener_.accept_backlog(); }
+    // Accepts the connections in the backlog, then no further ones.
+    void stop_listening() { listener_.close(); }
     // Whether no connection has a request in flight, a partly read or unread request, or a partly written
     // response.
     [[nodiscard]] bool is_idle() const { return !connections_.any_busy(); }
--- a/src/server/graceful_shutdown.cpp
+++ b/src/server/graceful_shutdown.cpp
@@ -63,8 +63,11 @@
     // A client that never completes its request does not delay the shutdown, and a request whose deadline is
     // later than the end of the shutdown is answered now.
     const bool time_over = clock_.now() >= latest_end_;
-    if (time_over) requests_.fail_unanswered();
     ClientServer& clients = *listeners_.clients();
+    if (time_over) {
+        clients.stop_listening();
+        requests_.refuse_all();
+    }
     const bool has_work = time_over
                               ? clients.is_writing_responses() && clock_.now() < latest_response_end_
                               : !clients.is_idle() || clients.accept_backlog() || upgrade_.is_delivering();
--- a/src/server/request_handler.cpp
+++ b/src/server/request_handler.cpp
@@ -44,6 +44,7 @@
       validator_(dependencies.settings) {}
 
 void RequestHandler::on_request(ClientRequest&& request) {
+    if (refuses_all_) return reject_late(request.id);
     RequestAttributes attributes;
     std::optional<RequestError> error = validator_.validate(request.message, attributes);
     // Trace ids are unique among the requests in flight. Otherwise, a host would receive two requests with
@@ -91,6 +92,13 @@
            decision::Idempotency::idempotent;
 }
 
+void RequestHandler::reject_late(decision::RequestId id) {
+    metrics_.request_received();
+    metrics_.answered(static_cast<unsigned>(http::status::service_unavailable));
+    LogLine(LogLevel::info, "request_after_latest_end").with("request", id);
+    clients().answer(id, make_answer(http::status::service_unavailable));
+}
+
 void RequestHandler::reject_invalid(decision::RequestId id, const RequestError& error) {
     metrics_.request_invalid();
     LogLine(LogLevel::debug, "request_invalid").with("request", id).with("reason", error.message);
@@ -357,7 +365,8 @@
     return request != nullptr && !request->answered;
 }
 
-void RequestHandler::fail_unanswered() {
+void RequestHandler::refuse_all() {
+    refuses_all_ = true;
     for (const decision::RequestId id : requests_.unanswered()) {
         InFlightRequest* const request = requests_.find(id);
         if (request != nullptr && !request->answered) fail_with_timeout(id, *request);
--- a/src/server/request_handler.h
+++ b/src/server/request_handler.h
@@ -58,8 +58,8 @@
     void on_deadline(decision::RequestId id);
     // Whether the request is in flight and has no answer.
     [[nodiscard]] bool awaits_answer(decision::RequestId id);
-    // Answers each unanswered request in the same way.
-    void fail_unanswered();
+    // Answers each unanswered request in the same way, and each later request with 503, without an attempt.
+    void refuse_all();
     // Returns the trace ids that the successor in an upgrade must not forward, in the form of
     // `ExecutedTraceIds`.
     [[nodiscard]] std::string trace_ids_for_successor() const;
@@ -79,6 +79,8 @@
 
   private:
     [[nodiscard]] bool is_idempotent(int request_class) const;
+    // Answers a request that arrives after the latest end of the shutdown.
+    void reject_late(decision::RequestId id);
     void reject_invalid(decision::RequestId id, const RequestError& error);
     void log_incomplete_response(const HostPool::AttemptKey& key, const std::string& uid,
                                  const HostResult& result, const InFlightRequest& request);
@@ -102,6 +104,7 @@
     const RequestValidator validator_;
     InFlightRequests requests_;
     ExecutedTraceIds executed_trace_ids_;
+    bool refuses_all_ = false;
 };
 
 }  // namespace gateway::server
--- a/tests/server/shutdown_test.cpp
+++ b/tests/server/shutdown_test.cpp
@@ -141,6 +141,43 @@
     EXPECT_TRUE(run_until(io, [&] { return done; }));
 }
 
+// Regression: while a response was being completed after the latest end, the listener stayed open, and a
+// request on a new connection got an attempt and 504, although another process may listen on the address by
+// then.
+TEST_F(GatewayTest, NoConnectionIsAcceptedAndNoRequestForwardedAfterTheLatestEnd) {
+    deadline_ms = 100;
+    const std::string piece(100'000, 'x');
+    on_request = [&](auto& peer) {
+        peer.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(2 * piece.size()) + "\r\n\r\n" +
+                  piece);
+    };
+    ASSERT_TRUE(becomes_ready());
+    const tcp::endpoint listen = address();
+    Client streaming(io, listen);
+    streaming.send(request("a"));
+    ASSERT_TRUE(run_until(io, [&] { return streaming.received().size() > piece.size(); }));
+    bool done = false;
+    gateway().drain([&] { done = true; });
+    // This connection is open at the latest end, because its request is incomplete.
+    Client late(io, listen);
+    const std::string text = request("b");
+    late.send(text.substr(0, text.size() - 2));
+    constexpr auto latest_end = 700ms + 100ms - 150ms;
+    EXPECT_TRUE(time_passes(latest_end + 100ms));
+    tcp::socket refused(io);
+    error_code ec;
+    refused.connect(listen, ec);
+    EXPECT_EQ(ec, asio::error::connection_refused);
+    late.send(text.substr(text.size() - 2));
+    ASSERT_TRUE(answered(late));
+    EXPECT_EQ(late.answers()[0].result_int(), 503u);
+    EXPECT_EQ(host.requests.size(), 1u);
+    host.peers[0]->send(piece);
+    ASSERT_TRUE(answered(streaming));
+    EXPECT_EQ(streaming.answers()[0].body(), piece + piece);
+    EXPECT_TRUE(run_until(io, [&] { return done; }));
+}
+
 TEST_F(GatewayTest, AnIncompleteRequestDoesNotDelayAShutdown) {
     deadline_ms = 100;
     ASSERT_TRUE(becomes_ready());
--- a/tools/fault_soak/host_stub.cpp
+++ b/tools/fault_soak/host_stub.cpp
@@ -229,8 +229,9 @@
         co_await asio::async_write(socket, asio::buffer(text), into(error));
         text.clear();
     }
-    if (error && !*record.broken_by_fault)
-        oracle_.response_cut_off(record.trace, record.attempt, head_at, Clock::now());
+    // A fault of this host closes the socket.
+    const bool closed_by_gateway = error && socket.is_open() && !*record.broken_by_fault;
+    if (closed_by_gateway) oracle_.response_cut_off(record.trace, record.attempt, head_at, Clock::now());
     if (framing == Framing::until_close) socket.close(error);
 }
 
