--- a/src/server/client_server.cpp
+++ b/src/server/client_server.cpp
@@ -153,6 +153,11 @@
     hand_over_connection_(std::move(socket), std::move(unread), first_request);
 }
 
+void ClientServer::end_hand_over() {
+    hand_over_connection_ = {};
+    drain();
+}
+
 void ClientServer::cancel_hand_over() {
     hand_over_connection_ = {};
     listener_.resume();
--- a/src/server/client_server.h
+++ b/src/server/client_server.h
@@ -83,6 +83,8 @@
     // Hands each connection over to another process as soon as it is between two requests, and accepts no new
     // connections.
     void hand_over(HandOverConnection hand_over_connection);
+    // Ends the handover of connections, because nobody takes them any more, and closes each once it is idle.
+    void end_hand_over();
     // Ends the handover of connections and accepts new connections again.
     void cancel_hand_over();
     // Takes over a connection from another process, or closes it if the socket budget has no slot for it.
--- a/src/server/handover.h
+++ b/src/server/handover.h
@@ -68,6 +68,10 @@
         leave_standby = 'a',
         // Payload: the uid of a host that an endpoint list has contained.
         known_host = 'n',
+        // The successor has handed over to a successor of its own; sent to the predecessor, which must not
+        // serve
+        // again when this process ends.
+        superseded = 'f',
         // Trace ids that the successor must not forward. Payload: their hashes, 16 hexadecimal digits each.
         executed_trace_ids = 'i',
     };
--- a/src/server/upgrade.cpp
+++ b/src/server/upgrade.cpp
@@ -111,6 +111,7 @@
             else inherited_.notifications.push_back(std::move(message));
             return;
         case Kind::takeover_request:
+        case Kind::superseded:
             return;
     }
 }
@@ -146,7 +147,11 @@
             return;
         case Kind::takeover_request:
             if (!successor_greeted_ || std::exchange(handed_over_, true)) return;
+            if (predecessor_) predecessor_->send(Kind::superseded);
             return callbacks_.on_hand_over(*successor_);
+        case Kind::superseded:
+            superseded_ = handed_over_;
+            return;
         case Kind::ban:
         case Kind::unban:
         case Kind::enter_standby:
@@ -161,6 +166,10 @@
 void Upgrade::on_successor_closed() {
     std::deque<HandoverMessage> unsent = successor_->take_unsent();
     successor_.reset();
+    if (superseded_) {
+        LogLine(LogLevel::info, "upgrade_superseded");
+        return callbacks_.on_superseded();
+    }
     if (!std::exchange(handed_over_, false)) return;
     LogLine(LogLevel::warning, "upgrade_rolled_back").with("reason", "the successor process has ended");
     callbacks_.on_successor_lost();
--- a/src/server/upgrade.h
+++ b/src/server/upgrade.h
@@ -43,6 +43,9 @@
         std::function<void(HandoverChannel&)> on_hand_over;
         // Called in the predecessor: the successor has ended first, and this process has to serve again.
         std::function<void()> on_successor_lost;
+        // Called in the predecessor: its successor has handed over in its turn and ended, and this process only
+        // completes what it has.
+        std::function<void()> on_superseded;
         // Called when the other process reports a ban, a standby change or the uid of a known host.
         std::function<void(HandoverMessage&&)> on_notification;
     };
@@ -92,6 +95,8 @@
     // Whether the successor has sent a greeting with this process's protocol version.
     bool successor_greeted_ = false;
     bool handed_over_ = false;
+    // Whether the successor has handed over to a successor of its own.
+    bool superseded_ = false;
 };
 
 }  // namespace gateway::server
--- a/src/server/upgrade_coordinator.cpp
+++ b/src/server/upgrade_coordinator.cpp
@@ -55,6 +55,7 @@
     callbacks.on_predecessor_ended = [this] { budget_.set_limit(total_sockets_); };
     callbacks.on_hand_over = [this](HandoverChannel& successor) { hand_over(successor); };
     callbacks.on_successor_lost = [this] { resume_serving(); };
+    callbacks.on_superseded = [this] { listeners_.clients()->end_hand_over(); };
     callbacks.on_notification = [this](HandoverMessage&& message) { apply_notification(message); };
     return callbacks;
 }
--- a/tests/server/upgrade_test.cpp
+++ b/tests/server/upgrade_test.cpp
@@ -231,6 +231,50 @@
     EXPECT_EQ(status_of(client, request("b")), 200u);
 }
 
+// Regression (review/10): a process whose successor had handed over in its turn and ended took that for a
+// failed upgrade. It served again and took over the name by which the next process looks for its predecessor.
+TEST_F(UpgradeTest, ABanSurvivesAnUpgradeAfterTwoUpgradesInARow) {
+    const std::uint16_t third_admin = free_port(), fourth_admin = free_port();
+    Program first(config(first_admin), handover_folder);
+    ASSERT_TRUE(becomes_ready(first_admin));
+    // A long response keeps the first process alive until both upgrades are over.
+    const std::string piece(100'000, 'x');
+    std::shared_ptr<Server::Peer> long_response;
+    on_request = [&](auto& peer, const auto&) {
+        long_response = peer.shared_from_this();
+        peer.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(2 * piece.size()) + "\r\n\r\n" +
+                  piece);
+    };
+    Client client(io, loopback(listen));
+    client.send(request("a"));
+    ASSERT_TRUE(run_until(io, [&] { return client.received().size() > piece.size(); }));
+    on_request = [](auto& peer, const auto& name) { peer.ok(name); };
+    Program second(config(next_admin), handover_folder);
+    ASSERT_TRUE(becomes_ready(next_admin));
+    first.signal(SIGTERM);
+    Program third(config(third_admin), handover_folder);
+    ASSERT_TRUE(becomes_ready(third_admin));
+    second.signal(SIGTERM);
+    ASSERT_TRUE(run_until(io, [&] { return second.ended(); }));
+    io.restart();
+    io.run_for(100ms);
+    ASSERT_FALSE(first.ended());
+    long_response->send(piece);
+    ASSERT_TRUE(run_until(io, [&] { return client.answers().size() == 1 && first.ended(); }));
+    EXPECT_EQ(client.answers()[0].body().size(), 2 * piece.size());
+    for (const char* const uid : {"h", "g"})
+        ASSERT_EQ(admin_call(third_admin, post("/maintenance/enter", uid)), 200u);
+    Program fourth(config(fourth_admin), handover_folder);
+    ASSERT_TRUE(becomes_ready(fourth_admin));
+    third.signal(SIGTERM);
+    ASSERT_TRUE(run_until(io, [&] { return third.ended(); }));
+    host.requests.clear();
+    other.requests.clear();
+    Client next(io, loopback(listen));
+    EXPECT_NE(status_of(next, request("b")), 200u);
+    EXPECT_TRUE(host.requests.empty() && other.requests.empty()) << "the bans were lost";
+}
+
 TEST_F(UpgradeTest, APredecessorThatHasEndedOrDoesNotRespondIsSkipped) {
     {
         Program dead(config(first_admin), handover_folder);
