--- a/src/server/endpoint_list.cpp
+++ b/src/server/endpoint_list.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/asio/ip/udp.hpp>
 #include <charconv>
+#include <cstdio>
+#include <sstream>
 
 namespace gateway::server {
 namespace {
@@ -31,8 +33,75 @@
         endpoint.boot_ms = json::as_integer(*boot, "boot_ms");
     return endpoint;
 }
+
+void append_text(std::string& out, std::string_view key, std::string_view text) {
+    constexpr unsigned char first_printable = 0x20;
+    out.append("\"").append(key).append("\":\"");
+    for (const char character : text) {
+        if (character == '"' || character == '\\') out.push_back('\\');
+        if (static_cast<unsigned char>(character) >= first_printable) {
+            out.push_back(character);
+            continue;
+        }
+        char escaped[8];
+        std::snprintf(escaped, sizeof escaped, "\\u%04x", static_cast<unsigned>(character));
+        out.append(escaped);
+    }
+    out.push_back('"');
+}
+
+void append_number(std::string& out, std::string_view key, std::int64_t number) {
+    out.append("\"").append(key).append("\":").append(std::to_string(number));
+}
+
+void append_entry(std::string& out, const Endpoint& endpoint) {
+    char weight[32];
+    std::snprintf(weight, sizeof weight, "%.17g", endpoint.weight);
+    out.push_back('{');
+    append_text(out, "uid", endpoint.uid);
+    out.push_back(',');
+    if (endpoint.address.port() != 0) {
+        std::ostringstream address;
+        address << endpoint.address;
+        append_text(out, "endpoint", address.str());
+        out.push_back(',');
+    }
+    append_text(out, "az", endpoint.zone);
+    out.push_back(',');
+    append_text(out, "model", endpoint.kind);
+    out.push_back(',');
+    append_number(out, "pod_group", endpoint.cell);
+    out.push_back(',');
+    append_text(out, "state", to_string(endpoint.state));
+    out.append(",\"capacity_hint\":").append(weight).push_back(',');
+    append_number(out, "boot_ms", endpoint.boot_ms);
+    out.push_back('}');
+}
 }  // namespace
 
+const char* to_string(EndpointState state) {
+    switch (state) {
+        case EndpointState::ready:
+            return "ready";
+        case EndpointState::draining:
+            return "draining";
+        case EndpointState::gone:
+            break;
+    }
+    return "gone";
+}
+
+std::string to_json(const EndpointList& list) {
+    std::string text = "{";
+    append_number(text, "rev", list.version);
+    text.append(list.complete ? ",\"all\":true" : ",\"all\":false").append(",\"targets\":[");
+    for (std::size_t i = 0; i < list.endpoints.size(); ++i) {
+        if (i > 0) text.push_back(',');
+        append_entry(text, list.endpoints[i]);
+    }
+    return text.append("]}");
+}
+
 template <class SocketAddress>
 SocketAddress read_endpoint(std::string_view text, std::string_view name) {
     constexpr std::string_view expected = "an address and port such as 127.0.0.1:8080";
--- a/src/server/endpoint_list.h
+++ b/src/server/endpoint_list.h
@@ -12,6 +12,8 @@
 
 // The state of a host as discovery reports it.
 enum class EndpointState { ready, draining, gone };
+// Returns the name in discovery's format and in the log.
+[[nodiscard]] const char* to_string(EndpointState state);
 
 // One host of an endpoint list.
 struct Endpoint {
@@ -35,6 +37,9 @@
 // Parses an endpoint list. Throws gateway::json::BadValue if a value is missing or malformed.
 [[nodiscard]] EndpointList read_endpoint_list(gateway::json::object object);
 
+// Returns the list in the format that read_endpoint_list parses.
+[[nodiscard]] std::string to_json(const EndpointList& list);
+
 // Parses an address and port such as "127.0.0.1:8080". Instantiated for TCP and UDP endpoints. Throws
 // gateway::json::BadValue, which contains `name`, if the text is malformed.
 template <class SocketAddress>
--- a/src/server/handover.h
+++ b/src/server/handover.h
@@ -68,6 +68,9 @@
         leave_standby = 'a',
         // Payload: the uid of a host that an endpoint list has contained.
         known_host = 'n',
+        // Payload: a chunk of the endpoint list that the predecessor uses, complete, in discovery's JSON
+        // format.
+        endpoint_list = 'e',
         // The successor has handed over to a successor of its own; sent to the predecessor, which must not
         // serve
         // again when this process ends.
--- a/src/server/host_manager.cpp
+++ b/src/server/host_manager.cpp
@@ -1,5 +1,6 @@
 #include "host_manager.h"
 
+#include <algorithm>
 #include <chrono>
 #include <string_view>
 #include <utility>
@@ -23,18 +24,6 @@
     return decision::HostState::gone;
 }
 
-const char* to_string(EndpointState state) {
-    switch (state) {
-        case EndpointState::ready:
-            return "ready";
-        case EndpointState::draining:
-            return "draining";
-        case EndpointState::gone:
-            break;
-    }
-    return "gone";
-}
-
 void log_endpoint_list(const EndpointList& list) {
     LogLine(LogLevel::info, "endpoint_list_received")
         .with("revision", list.version)
@@ -62,8 +51,39 @@
 HostManager::HostManager(decision::RuleGuard& guard, EventDispatcher& dispatcher, HostPool& pool)
     : guard_(guard), dispatcher_(dispatcher), pool_(pool) {}
 
-void HostManager::on_endpoint_list(const EndpointList& list) {
+void HostManager::on_discovery_list(const EndpointList& list) {
+    discovery_has_answered_ = true;
+    apply(list);
+}
+
+void HostManager::on_predecessor_list(const EndpointList& list) {
+    if (!discovery_has_answered_) apply(list);
+}
+
+EndpointList HostManager::current_list() const {
+    EndpointList list;
+    list.version = version_;
+    list.complete = true;
+    for (const auto& [uid, endpoint] : endpoints_) list.endpoints.push_back(endpoint);
+    return list;
+}
+
+void HostManager::merge(const EndpointList& list) {
+    version_ = list.version;
+    const std::map<std::string, Endpoint> earlier =
+        list.complete ? std::exchange(endpoints_, {}) : std::map<std::string, Endpoint>();
+    for (const Endpoint& endpoint : list.endpoints) {
+        has_withdrawn_host_ = has_withdrawn_host_ || endpoint.state != EndpointState::ready;
+        if (endpoint.state == EndpointState::gone) endpoints_.erase(endpoint.uid);
+        else endpoints_.insert_or_assign(endpoint.uid, endpoint);
+    }
+    const auto is_unlisted = [this](const auto& entry) { return !endpoints_.contains(entry.first); };
+    has_withdrawn_host_ = has_withdrawn_host_ || std::any_of(earlier.begin(), earlier.end(), is_unlisted);
+}
+
+void HostManager::apply(const EndpointList& list) {
     if (!list.complete && list.endpoints.empty()) return;  // a watch whose hold time ended without a change
+    merge(list);
     track(list);
     decision::HostsChanged event = to_event(list);
     guard_.hosts_changed(event);
--- a/src/server/runtime.cpp
+++ b/src/server/runtime.cpp
@@ -49,7 +49,7 @@
       shutdown_(io, {clock_, config_.settings, guard_, listeners_, requests_, upgrade_}) {
     EndpointList configured = config_.initial_endpoints;
     configured.complete = true;
-    hosts_.on_endpoint_list(configured);
+    hosts_.on_configured_list(configured);
     if (config_.admin_listen) admin_server_ = bind_with_retry("mgmt", [&] { return make_admin_server(io); });
     start_initial_list_timeout();
     discovery_ = make_discovery(io);
@@ -95,7 +95,7 @@
 
 std::unique_ptr<Discovery> Runtime::make_discovery(boost::asio::io_context& io) {
     const auto on_list = [this](const EndpointList& list) {
-        hosts_.on_endpoint_list(list);
+        hosts_.on_discovery_list(list);
         on_initial_list_ready();
     };
     // If discovery is polled, the watch begins from the version of the configured list: discovery can serve
--- a/src/server/upgrade.cpp
+++ b/src/server/upgrade.cpp
@@ -95,6 +95,9 @@
         case Kind::snapshot:
             inherited_.snapshot += message.payload;
             return;
+        case Kind::endpoint_list:
+            inherited_.endpoint_list += message.payload;
+            return;
         case Kind::complete:
             return on_handover_complete(message);
         case Kind::client_connection:
--- a/src/server/upgrade.h
+++ b/src/server/upgrade.h
@@ -24,6 +24,8 @@
         std::vector<HandoverMessage> notifications;
         // The snapshot of the decision module.
         std::string snapshot;
+        // The predecessor's endpoint list in discovery's format; empty if an earlier release sent none.
+        std::string endpoint_list;
         // The number of sockets that the predecessor still needs.
         std::size_t sockets_kept = 0;
     };
@@ -43,8 +45,8 @@
         std::function<void(HandoverChannel&)> on_hand_over;
         // Called in the predecessor: the successor has ended first, and this process has to serve again.
         std::function<void()> on_successor_lost;
-        // Called in the predecessor: its successor has handed over in its turn and ended, and this process only
-        // completes what it has.
+        // Called in the predecessor: its successor has handed over in its turn and ended, and this process
+        // only completes what it has.
         std::function<void()> on_superseded;
         // Called when the other process reports a ban, a standby change or the uid of a known host.
         std::function<void(HandoverMessage&&)> on_notification;
--- a/src/server/upgrade_coordinator.cpp
+++ b/src/server/upgrade_coordinator.cpp
@@ -8,6 +8,8 @@
 #include <string_view>
 #include <utility>
 
+#include "log.h"
+
 namespace gateway::server {
 using Kind = HandoverMessage::Kind;
 
@@ -72,11 +74,27 @@
     if (inherited.sockets_kept > 0)
         budget_.set_limit(total_sockets_ - std::min(inherited.sockets_kept, total_sockets_ / 2));
     for (const HandoverMessage& notification : inherited.notifications) apply_notification(notification);
+    adopt_endpoint_list(inherited.endpoint_list);
     if (!inherited.snapshot.empty())
         dispatcher_.dispatch(decision::RestoreSnapshot{std::move(inherited.snapshot)});
     listeners_.open(std::move(inherited.client_listener), std::move(inherited.peer_socket));
 }
 
+// Without this list, a process that starts while discovery is silent would use the list of its configuration
+// and send to hosts that its predecessor knew to be draining or gone.
+void UpgradeCoordinator::adopt_endpoint_list(const std::string& text) {
+    if (text.empty()) return;
+    try {
+        simdjson::dom::parser parser;
+        gateway::json::object root;
+        if (parser.parse(text).get(root) != simdjson::SUCCESS)
+            gateway::json::throw_bad_value("endpoint list", "a JSON object");
+        hosts_.on_predecessor_list(read_endpoint_list(root));
+    } catch (const gateway::json::BadValue& error) {
+        LogLine(LogLevel::warning, "upgrade_list_ignored").with("error", error.what());
+    }
+}
+
 // Hands everything over in one step of the event loop: no request can arrive in between, so that both
 // processes never decide on the same one.
 void UpgradeCoordinator::hand_over(HandoverChannel& successor) {
@@ -98,6 +116,9 @@
     }
     send_in_chunks(successor, Kind::snapshot, snapshot_);
     send_in_chunks(successor, Kind::executed_trace_ids, requests_.trace_ids_for_successor());
+    // Without a withdrawal, the successor's own list is good enough until discovery answers.
+    if (hosts_.has_withdrawn_host())
+        send_in_chunks(successor, Kind::endpoint_list, to_json(hosts_.current_list()));
     for (const std::string& uid : hosts_.known_names().names()) successor.send(Kind::known_host, uid);
     for (const std::string& uid : pool_.banned()) successor.send(Kind::ban, uid);
     if (listeners_.standby()) successor.send(Kind::enter_standby);
--- a/src/server/upgrade_coordinator.h
+++ b/src/server/upgrade_coordinator.h
@@ -51,6 +51,7 @@
     void serve(Upgrade::InheritedState&& inherited);
     void hand_over(HandoverChannel& successor);
     void send_state(HandoverChannel& successor, std::size_t sockets_kept);
+    void adopt_endpoint_list(const std::string& text);
     void send_connections(HandoverChannel& successor);
     void resume_serving();
     void adopt_connection(HandoverMessage&& connection);
--- a/tests/server/upgrade_test.cpp
+++ b/tests/server/upgrade_test.cpp
@@ -12,9 +12,10 @@
     std::function<void(Server::Peer&, const std::string&)> on_request = [](auto& peer, const auto& name) {
         peer.ok(name);
     };
+    bool discovery_is_silent = false;
     Server discovery{
         io, [this](auto& peer) {
-            if (peer.request.target().find("from=") != std::string::npos) return;
+            if (discovery_is_silent || peer.request.target().find("from=") != std::string::npos) return;
             const auto row = [](const std::string& uid, const Server& server) {
                 return R"({"uid":")" + uid + R"(","endpoint":")" + server.address() +
                        R"(","az":"a","model":"m","state":"ready","capacity_hint":1,"boot_ms":0})";
@@ -231,6 +232,28 @@
     EXPECT_EQ(status_of(client, request("b")), 200u);
 }
 
+// Regression (review/8): a process that took over while discovery was silent used the list of its
+// configuration, and sent to hosts that its predecessor knew to be gone.
+TEST_F(UpgradeTest, WhileDiscoveryIsSilentTheSuccessorUsesTheListOfItsPredecessor) {
+    Server gone(io, [](auto& peer) { peer.ok("gone"); });
+    const std::string known = R"("known":{"rev":0,"all":true,"targets":[{"uid":"x","endpoint":")" +
+                              gone.address() +
+                              R"(","az":"a","model":"m","state":"ready","capacity_hint":1,"boot_ms":0}]},)";
+    const auto with_known_list = [&](std::string text) { return text.insert(1, known); };
+    Program first(with_known_list(config(first_admin)), handover_folder);
+    ASSERT_TRUE(becomes_ready(first_admin));
+    discovery_is_silent = true;
+    Program next(with_known_list(config(next_admin)), handover_folder);
+    ASSERT_TRUE(becomes_ready(next_admin));
+    first.signal(SIGTERM);
+    ASSERT_TRUE(run_until(io, [&] { return first.ended(); }));
+    for (int i = 0; i < 5; ++i) {
+        Client client(io, loopback(listen));
+        EXPECT_EQ(status_of(client, request("a" + std::to_string(i))), 200u);
+    }
+    EXPECT_TRUE(gone.requests.empty());
+}
+
 // Regression (review/10): a process whose successor had handed over in its turn and ended took that for a
 // failed upgrade. It served again and took over the name by which the next process looks for its predecessor.
 TEST_F(UpgradeTest, ABanSurvivesAnUpgradeAfterTwoUpgradesInARow) {
