Don't deliver the rest of a request whose attempt has been given up

Only retries with a deduplication window discarded it. Now every attempt does that ends without a response.

The new test failed before: the host got all 60,000 bytes and an orderly end, after the cancel.

--- a/src/server/host_connection.cpp
+++ b/src/server/host_connection.cpp
@@ -386,7 +386,7 @@
 }
 
 void HostConnection::finish_without_response(HostOutcome outcome) {
-    if (delivery_deadline_ != Steady::time_point::max()) discard_undelivered_output();
+    discard_undelivered_output();
     HostResult result;
     result.outcome = outcome;
     if (reader_.active() && reader_.header_complete())
@@ -395,9 +395,10 @@
 }
 
 // Lets the close reset the connection if the host's machine has not acknowledged everything. The kernel would
-// otherwise still send the rest of the request, which could arrive after the delivery deadline.
+// otherwise still send the rest of the request to a host that reads slowly, which could execute it after the
+// delivery deadline or long after the client has left.
 void HostConnection::discard_undelivered_output() {
-    if (is_output_acknowledged(socket_)) return;
+    if (!socket_.is_open() || is_output_acknowledged(socket_)) return;
     error_code ec;
     socket_.set_option(asio::socket_base::linger(true, 0), ec);
 }
--- a/tests/server/host_connection_test.cpp
+++ b/tests/server/host_connection_test.cpp
@@ -201,6 +201,28 @@
     }
 }
 
+// Regression: the rest of a request reached a slow reader after its attempt had been cancelled because its
+// client had left.
+TEST_F(HostPoolTest, ACancelledRequestThatItsHostReadsSlowlyNeverArrivesCompletely) {
+    constexpr std::size_t body_bytes = 60'000;
+    tcp::acceptor listener(io);
+    listener.open(tcp::v4());
+    listener.set_option(asio::socket_base::receive_buffer_size(4096));
+    listener.bind(any_port());
+    listener.listen();
+    update_host(listener.local_endpoint());
+    send_body(1, body_bytes, {});
+    tcp::socket host = listener.accept();
+    EXPECT_FALSE(run_for(50ms));
+    pool().cancel({1, 0});
+    ASSERT_EQ(results.size(), 1u);
+    std::string received;
+    error_code ec;
+    asio::read(host, asio::dynamic_buffer(received), ec);
+    EXPECT_EQ(ec, asio::error::connection_reset);
+    EXPECT_LT(received.size(), body_bytes);
+}
+
 TEST_F(HostPoolTest, ARequestThatIsDeliveredInTimeMayBeAnsweredLater) {
     tcp::acceptor listener(io, any_port());
     update_host(listener.local_endpoint());
--- a/tests/server/host_pool_fixture.h
+++ b/tests/server/host_pool_fixture.h
@@ -50,8 +50,9 @@
         pool().attempt({id, 0}, "h", message, timeout);
     }
     // Sends the first attempt of a request with a body, which the host has to receive within
-    // `delivery_timeout`.
-    void send_body(std::uint64_t id, std::size_t body_bytes, std::chrono::microseconds delivery_timeout) {
+    // `delivery_timeout`; empty: no such limit.
+    void send_body(std::uint64_t id, std::size_t body_bytes,
+                   std::optional<std::chrono::microseconds> delivery_timeout) {
         Request message(http::verb::post, "/api", 11);
         message.set("X-Trace-Id", "t");
         message.body().assign(body_bytes, 'x');
