Reset the connection of a client whose streamed response is cut off, whatever closes it

A response that failed at its host was ended by a reset, but a close at the end of the process, by a timeout or after an internal error was orderly, and a client of HTTP/1.0 took it for the end of a response without a length.

The new test failed before: end of stream instead of a reset.

--- a/src/server/client_connection.cpp
+++ b/src/server/client_connection.cpp
@@ -159,13 +159,7 @@
     if (last) resume();
 }
 
-void ClientConnection::abort_stream() {
-    error_code ec;
-    // Closes the connection with a reset, because the client could take an orderly close for the end of the
-    // response.
-    socket_.set_option(asio::socket_base::linger(true, 0), ec);
-    close(ClientCloseReason::response_aborted);
-}
+void ClientConnection::abort_stream() { close(ClientCloseReason::response_aborted); }
 
 void ClientConnection::resume() {
     penalty_ = {};
@@ -190,6 +184,8 @@
 void ClientConnection::close(ClientCloseReason reason) {
     if (std::exchange(state_, State::closed) == State::closed) return;
     error_code ec;
+    // The client could take an orderly close for the end of a response without a length.
+    if (streaming_) socket_.set_option(asio::socket_base::linger(true, 0), ec);
     socket_.close(ec);
     owner_.on_closed(reason, number_, request_);
     if (const std::uint64_t request = std::exchange(request_, 0)) owner_.on_request_abandoned(request);
--- a/tests/server/streamed_response_test.cpp
+++ b/tests/server/streamed_response_test.cpp
@@ -98,6 +98,32 @@
     EXPECT_EQ(other.answers()[0].body(), "served");
 }
 
+// Regression: only a response that failed at its host was ended by a reset. A client of HTTP/1.0 took any
+// other close, for example at the end of the process, for the end of the response.
+TEST_F(StreamedResponseTest, AClientOfHttp10CanTellThatTheEndOfTheProcessCutItsResponseOff) {
+    ASSERT_TRUE(becomes_ready());
+    on_request = [](auto& peer) {
+        peer.send("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + std::string(100000, 'x'));
+    };
+    tcp::socket client(io);
+    client.connect(address());
+    std::string text = request("a");
+    text.replace(text.find("HTTP/1.1"), 8, "HTTP/1.0");
+    asio::write(client, asio::buffer(text));
+    std::string received(100000, '\0');
+    error_code ec;
+    client.non_blocking(true);
+    std::size_t size = 0;
+    ASSERT_TRUE(run_until(io, [&] {
+        size += client.read_some(asio::buffer(received), ec);
+        return size > 100000;
+    }));
+    runtime.reset();
+    client.non_blocking(false);
+    asio::read(client, asio::dynamic_buffer(received), ec);
+    EXPECT_EQ(ec, asio::error::connection_reset);
+}
+
 TEST_F(StreamedResponseTest, ADisconnectOfTheClientEndsTheAttempt) {
     ASSERT_TRUE(becomes_ready());
     const auto text = std::make_shared<std::string>("HTTP/1.1 200 OK\r\nContent-Length: 30000000\r\n\r\n" +
