--- a/src/server/upgrade.cpp
+++ b/src/server/upgrade.cpp
@@ -170,7 +170,7 @@
     std::deque<HandoverMessage> unsent = successor_->take_unsent();
     successor_.reset();
     if (superseded_) {
-        LogLine(LogLevel::info, "upgrade_superseded");
+        LogLine(LogLevel::info, "upgrade_superseded").with("reason", "the successor has handed over");
         return callbacks_.on_superseded();
     }
     if (!std::exchange(handed_over_, false)) return;
