--- a/tests/server/slow_response_test.cpp
+++ b/tests/server/slow_response_test.cpp
@@ -171,6 +171,18 @@
     EXPECT_TRUE(client.answers().empty()) << "the client cannot tell that the response is incomplete";
 }
 
+// The last byte of a short response counts. Whether a response without a length is short is known only at its
+// end: one that has been started in time must neither be cut off if it is long nor end late if it is short.
+TEST_F(SlowResponseTest, AShortResponseWithoutALengthEndsWithinHalfASecondAfterTheDeadline) {
+    constexpr auto deadline = 370ms, lost_after = 500ms, socket_slack = 50ms;
+    on_request = writes_slowly(body_of(30'000), Framing::chunked, {1000, 50ms});
+    ASSERT_TRUE(becomes_ready());
+    const auto sent_at = std::chrono::steady_clock::now();
+    const Client client = send(deadline);
+    ASSERT_TRUE(run_until(io, [&] { return !client.answers().empty() || client.closed(); }));
+    EXPECT_LE(std::chrono::steady_clock::now() - sent_at, deadline + lost_after + socket_slack);
+}
+
 TEST_F(SlowResponseTest, APauseInALongResponseIsWaitedFor) {
     const std::string body = body_of(130'000);
     on_request = writes_slowly(body, Framing::until_close, {65'000, 1800ms});
