--- a/tests/server/host_connection_test.cpp
+++ b/tests/server/host_connection_test.cpp
@@ -6,6 +6,16 @@
 namespace gateway::server::test {
 namespace {
 
+// Returns a listener whose connections accept only some kilobytes that are not read.
+tcp::acceptor listen_with_small_buffer(asio::io_context& io) {
+    tcp::acceptor listener(io);
+    listener.open(tcp::v4());
+    listener.set_option(asio::socket_base::receive_buffer_size(4096));
+    listener.bind(any_port());
+    listener.listen();
+    return listener;
+}
+
 TEST_F(HostPoolTest, ForwardsTheRequestAndTheResponse) {
     Steady::time_point received_at;
     Server host(io, [&](auto& peer) {
@@ -176,11 +186,7 @@
     };
     for (const auto& [body_bytes, cancelled] : {Case{60'000, false}, Case{long_body_bytes, false},
                                                 Case{60'000, true}, Case{long_body_bytes, true}}) {
-        tcp::acceptor listener(io);
-        listener.open(tcp::v4());
-        listener.set_option(asio::socket_base::receive_buffer_size(4096));
-        listener.bind(any_port());
-        listener.listen();
+        tcp::acceptor listener = listen_with_small_buffer(io);
         update_host(listener.local_endpoint());
         const std::size_t before = results.size();
         send_body(before + 1, body_bytes, cancelled ? 10s : 100ms);
@@ -205,11 +211,7 @@
 // client had left.
 TEST_F(HostPoolTest, ACancelledRequestThatItsHostReadsSlowlyNeverArrivesCompletely) {
     constexpr std::size_t body_bytes = 60'000;
-    tcp::acceptor listener(io);
-    listener.open(tcp::v4());
-    listener.set_option(asio::socket_base::receive_buffer_size(4096));
-    listener.bind(any_port());
-    listener.listen();
+    tcp::acceptor listener = listen_with_small_buffer(io);
     update_host(listener.local_endpoint());
     send_body(1, body_bytes, {});
     tcp::socket host = listener.accept();
--- a/tests/server/loopback.h
+++ b/tests/server/loopback.h
@@ -22,6 +22,13 @@
 
 inline tcp::endpoint any_port() { return {asio::ip::address_v4::loopback(), 0}; }
 
+// Returns a body whose bytes vary, so that lost or repeated parts show.
+[[nodiscard]] inline std::string body_of(std::size_t size) {
+    std::string text(size, 'x');
+    for (std::size_t i = 0; i < size; i += 97) text[i] = static_cast<char>('a' + i % 26);
+    return text;
+}
+
 // Runs the event loop until `done` returns true. Returns false after 20 s, which no correct run takes.
 template <class Done>
 [[nodiscard]] bool run_until(asio::io_context& io, Done done) {
--- a/tests/server/slow_response_test.cpp
+++ b/tests/server/slow_response_test.cpp
@@ -60,12 +60,6 @@
     asio::steady_timer pause_;
 };
 
-std::string body_of(std::size_t size) {
-    std::string text(size, 'x');
-    for (std::size_t i = 0; i < size; i += 97) text[i] = static_cast<char>('a' + i % 26);
-    return text;
-}
-
 Server::Handler writes_slowly(const std::string& body, Framing framing, Rhythm rhythm) {
     return [=](Server::Peer& peer) {
         std::make_shared<SlowWriter>(peer.shared_from_this(), body, framing, rhythm)->start();
--- a/tests/server/streamed_response_test.cpp
+++ b/tests/server/streamed_response_test.cpp
@@ -5,11 +5,6 @@
 namespace {
 
 struct StreamedResponseTest : GatewayTest {
-    static std::string bytes(std::size_t size) {
-        std::string text(size, 'x');
-        for (std::size_t i = 0; i < size; i += 97) text[i] = static_cast<char>('a' + i % 26);
-        return text;
-    }
     // Writes asynchronously, because the gateway reads on the same event loop, which a blocking write would
     // stop.
     static void write_all(Server::Peer& peer, std::shared_ptr<std::string> text, bool then_close = false) {
@@ -21,7 +16,7 @@
 };
 
 TEST_F(StreamedResponseTest, IsForwardedUnchangedInEveryTransferCoding) {
-    const std::string body = bytes(3000000);
+    const std::string body = body_of(3000000);
     std::string chunked;
     for (std::size_t offset = 0; offset < body.size(); offset += 70001)
         chunked += as_chunk(std::string_view(body).substr(offset, 70001));
@@ -47,7 +42,7 @@
 
 TEST_F(StreamedResponseTest, WaitsForASlowClient) {
     ASSERT_TRUE(becomes_ready());
-    const std::string body = bytes(30000000);
+    const std::string body = body_of(30000000);
     const auto text =
         std::make_shared<std::string>("HTTP/1.1 200 OK\r\nContent-Length: 30000000\r\n\r\n" + body);
     std::size_t written_bytes = 0;
