--- a/src/server/client_listener.cpp
+++ b/src/server/client_listener.cpp
@@ -51,6 +51,7 @@
         acceptor_.listen(asio::socket_base::max_listen_connections);
     }
     acceptor_.non_blocking(true);
+    local_endpoint_ = acceptor_.local_endpoint();
 }
 
 void ClientListener::start() {
--- a/src/server/client_listener.h
+++ b/src/server/client_listener.h
@@ -46,7 +46,8 @@
     void close();
     // Returns a duplicate of the listening socket for another process.
     [[nodiscard]] Descriptor share() const;
-    [[nodiscard]] boost::asio::ip::tcp::endpoint local_endpoint() const { return acceptor_.local_endpoint(); }
+    // The address of the socket, also after `close`.
+    [[nodiscard]] const boost::asio::ip::tcp::endpoint& local_endpoint() const { return local_endpoint_; }
 
   private:
     void accept();
@@ -60,6 +61,7 @@
     SocketBudget& budget_;
     const Callbacks callbacks_;
     boost::asio::ip::tcp::acceptor acceptor_;
+    boost::asio::ip::tcp::endpoint local_endpoint_;
     boost::asio::steady_timer backoff_timer_;
     // Connections may have waited in the backlog since this time. Empty if the backlog was empty at the last
     // check.
--- a/tests/server/shutdown_test.cpp
+++ b/tests/server/shutdown_test.cpp
@@ -178,6 +178,23 @@
     EXPECT_TRUE(run_until(io, [&] { return done; }));
 }
 
+// A predecessor may hand over connections to a process that has closed its listener.
+TEST_F(GatewayTest, AConnectionIsAdoptedAfterTheListenerIsClosed) {
+    SocketBudget socket_budget(40);
+    ClientServer server(
+        io, any_port(), socket_budget, 1 << 20,
+        {[&](ClientRequest&& r) { server.answer(r.id, make_answer(http::status::ok, "last")); }, [](auto) {},
+         [] { return true; }});
+    server.accept_requests();
+    server.stop_listening();
+    tcp::acceptor predecessor(io, any_port());
+    Client client(io, predecessor.local_endpoint());
+    tcp::socket handed_over = predecessor.accept();
+    EXPECT_NO_THROW(server.adopt(Descriptor(handed_over.release()), {}, true));
+    client.send(request("a"));
+    ASSERT_TRUE(answered(client));
+}
+
 TEST_F(GatewayTest, AnIncompleteRequestDoesNotDelayAShutdown) {
     deadline_ms = 100;
     ASSERT_TRUE(becomes_ready());
