Fault soak: ask for a response's length only once its header is complete

The client asked for the length also after a failed read of the header; the release build has no assertions, so the runs by hand didn't show it. Gateway code is unchanged.

--- a/tools/fault_soak/client.cpp
+++ b/tools/fault_soak/client.cpp
@@ -231,11 +231,12 @@
         given_up = watchdog.fired();
     }
     const Time first_byte_at = Clock::now();
-    const auto length = parser.content_length();
-    const bool may_be_long = !length || *length > max_short_body_bytes;
-    if (!error && !given_up)
+    if (!error && !given_up) {
+        const auto length = parser.content_length();
+        const bool may_be_long = !length || *length > max_short_body_bytes;
         given_up = co_await read_body(
             parser, disconnects || !may_be_long ? std::optional(until) : std::nullopt, error);
+    }
     if (given_up) {
         if (disconnects) oracle_.client_disconnected(request.trace, until);
         co_return;
