Don't let a signal during the teardown kill the process

Signals came in series until its end, and the handlers are removed before the process has ended, so the default action struck.

The handled signals are blocked once the event loop has ended.

--- a/src/server/main.cpp
+++ b/src/server/main.cpp
@@ -28,6 +28,15 @@
 std::size_t sockets_for_connections(std::size_t sockets) {
     return sockets > 2 * reserved_descriptors ? sockets - reserved_descriptors : reserved_descriptors;
 }
+
+// Blocks the signals that the program handles. One that arrives during the teardown, when the handlers have
+// been removed, would otherwise end the process by its default action, which counts as a crash.
+void block_handled_signals() {
+    sigset_t handled;
+    sigemptyset(&handled);
+    for (const int number : {SIGHUP, SIGTERM, SIGINT}) sigaddset(&handled, number);
+    pthread_sigmask(SIG_BLOCK, &handled, nullptr);
+}
 }  // namespace
 
 int main() {
@@ -50,6 +59,7 @@
             if (!ec) runtime.drain([&io] { io.stop(); });
         });
         io.run();
+        block_handled_signals();
     } catch (const std::exception& error) {
         std::fprintf(stderr, "api_gateway: %s\n", error.what());
         return 1;
--- a/tests/server/program_test.cpp
+++ b/tests/server/program_test.cpp
@@ -1,6 +1,8 @@
 // Tests of the program api_gateway: signals and exit status.
 #include "program.h"
 
+#include <thread>
+
 namespace gateway::server::test {
 namespace {
 
@@ -55,6 +57,24 @@
     ASSERT_TRUE(run_until(io, [&] { return !second.requests.empty(); }));
 }
 
+// Regression: the handler of SIGHUP was removed before the process ended, so a SIGHUP in that time killed it.
+TEST(Program, SignalsDuringTheShutdownDoNotKillTheProgram) {
+    for (const int number : {SIGHUP, SIGTERM}) {
+        asio::io_context io;
+        Server discovery(io, answer_empty_list);
+        Program program(config(discovery.address()));
+        ASSERT_TRUE(run_until(io, [&] { return discovery.requests.size() >= 2; }));
+        program.signal(SIGTERM);
+        const auto give_up_at = std::chrono::steady_clock::now() + 10s;
+        while (!program.ended() && std::chrono::steady_clock::now() < give_up_at) {
+            program.signal(number);
+            std::this_thread::sleep_for(200us);
+        }
+        ASSERT_TRUE(program.ended());
+        EXPECT_EQ(program.exit_status(), 0) << "signal " << number;
+    }
+}
+
 TEST(Program, AnInvalidConfigurationFailsTheStart) {
     asio::io_context io;
     Program program(R"({"name":"n0","listen":"nowhere"})");
