--- a/tools/fault_soak/machine_faults.cpp
+++ b/tools/fault_soak/machine_faults.cpp
@@ -19,11 +19,14 @@
 Task run_idle_client(asio::io_context& io, tcp::endpoint gateway, Time until) {
     while (Clock::now() < until) {
         tcp::socket socket(io);
-        Watchdog watchdog(io, socket, until);
-        error_code error;
-        co_await socket.async_connect(gateway, into(error));
-        char byte = 0;
-        if (!error) co_await socket.async_read_some(asio::buffer(&byte, 1), into(error));
+        {
+            Watchdog watchdog(io, socket, until);
+            error_code error;
+            co_await socket.async_connect(gateway, into(error));
+            char byte = 0;
+            if (!error) co_await socket.async_read_some(asio::buffer(&byte, 1), into(error));
+        }
+        // The socket outlives a queued handler of the watchdog.
         co_await sleep_for(io, crowd_reconnect_pause);
     }
 }
