Give the first request after a quiet start its whole time

Cause: ClientListener took its backlog for not empty from its construction until the first accept, and dated the first connection back by up to 0.5 s.

--- a/src/server/client_listener.cpp
+++ b/src/server/client_listener.cpp
@@ -59,9 +59,18 @@
         if (!std::exchange(awaiting_slot_, false)) return;
         asio::post(io_, [this] { accept(); });
     });
+    forget_empty_backlog();
     accept();
 }
 
+// Connections that arrive before the event loop runs have waited since the construction; later ones have not.
+void ClientListener::forget_empty_backlog() {
+    backoff_timer_.expires_after(0ms);
+    backoff_timer_.async_wait([this](error_code cancelled) {
+        if (!cancelled && !has_backlog()) backlog_since_.reset();
+    });
+}
+
 void ClientListener::detach() { budget_.on_freed({}); }
 
 void ClientListener::suspend() {
--- a/src/server/client_listener.h
+++ b/src/server/client_listener.h
@@ -50,6 +50,7 @@
     [[nodiscard]] const boost::asio::ip::tcp::endpoint& local_endpoint() const { return local_endpoint_; }
 
   private:
+    void forget_empty_backlog();
     void accept();
     void on_acceptable();
     [[nodiscard]] bool accept_one(boost::system::error_code& ec);
--- a/tests/server/gateway_test.cpp
+++ b/tests/server/gateway_test.cpp
@@ -227,5 +227,16 @@
     EXPECT_EQ(host.requests.at(0).body().size(), 32768u);
 }
 
+// Regression: the backlog counted as not empty from the start until the first accept, so the first request of
+// an idle gateway counted as half a second old.
+TEST_F(GatewayTest, TheFirstRequestAfterAQuietStartHasItsWholeTime) {
+    ASSERT_TRUE(becomes_ready());
+    EXPECT_TRUE(time_passes(600ms));
+    Client client(io, address());
+    client.send(request("a", "", "read", 300ms));
+    ASSERT_TRUE(answered(client));
+    EXPECT_EQ(client.answers()[0].result_int(), 200u);
+}
+
 }  // namespace
 }  // namespace gateway::server::test
