Split the streaming of responses out of HostConnection's file

Tests: one function for a host that writes half of a response; a comment that claimed more than was seen is corrected.

--- a/src/server/host_connection.cpp
+++ b/src/server/host_connection.cpp
@@ -20,12 +20,6 @@
 namespace {
 // Delay before a connect is retried after a local failure.
 constexpr std::chrono::milliseconds connect_retry_backoff = 10ms;
-// A streamed response is aborted if its host sends nothing for this long while the gateway is ready to read.
-// The client's side of the response is limited by client_limits::write_timeout.
-constexpr std::chrono::milliseconds long_response_stall_timeout = 10s;
-// The same for a response that may still turn out to be short. Its client waits for the end beyond the
-// deadline, which holds for the last byte of a short response.
-constexpr std::chrono::milliseconds undecided_response_stall_timeout = 3s;
 // The request buffer of an idle connection is released if its capacity exceeds this.
 constexpr std::size_t max_idle_buffer_bytes = 4096;
 
@@ -41,10 +35,6 @@
            std::find(errors.begin(), errors.end(), ec.value()) != errors.end();
 }
 
-std::chrono::microseconds elapsed_since(Steady::time_point start, Steady::time_point now) {
-    return std::chrono::duration_cast<std::chrono::microseconds>(now - start);
-}
-
 // Whether the outcome means that a response of the host ended the exchange.
 bool has_response(HostOutcome outcome) {
     return outcome == HostOutcome::success || outcome == HostOutcome::rejected ||
@@ -125,23 +115,6 @@
     if (request_unsent()) finish_without_response(outcome);
 }
 
-void HostConnection::resume_reading() {
-    if (!std::exchange(awaiting_resume_, false) || state_ == State::closed) return;
-    set_deadline(Steady::now() + stall_timeout());
-    read();
-}
-
-std::chrono::milliseconds HostConnection::stall_timeout() const {
-    const bool undecided = reader_.may_become_long() && forwarded_bytes_ <= max_buffered_body_bytes;
-    return undecided ? undecided_response_stall_timeout : long_response_stall_timeout;
-}
-
-bool HostConnection::stream_arriving(StreamReason reason) {
-    const bool arriving = state_ == State::awaiting_response && response_announced_ && !streaming_;
-    if (arriving) begin_streaming(reason);
-    return arriving;
-}
-
 bool HostConnection::adopt(Descriptor&& socket, std::chrono::microseconds idle_for) {
     error_code ec;
     socket_.assign(endpoint_.protocol(), socket.get(), ec);
@@ -319,57 +292,6 @@
     finish_without_response(request_unsent() ? HostOutcome::connect_failed : HostOutcome::error);
 }
 
-bool HostConnection::stream_response() {
-    if (state_ != State::awaiting_response || !reader_.header_complete()) return true;
-    if (!streaming_ && !reader_.needs_streaming()) {
-        announce_response();
-        return state_ != State::closed && !awaiting_resume_;
-    }
-    if (!streaming_) {
-        time_to_stream_start_ = elapsed_since(phase_started_at_, Steady::now());
-        begin_streaming(StreamReason::long_body);
-        return false;
-    }
-    if (reader_.body().empty()) {
-        set_deadline(Steady::now() + stall_timeout());
-        return true;
-    }
-    forward_piece();
-    return false;
-}
-
-void HostConnection::forward_piece() {
-    awaiting_resume_ = true;
-    set_deadline(Steady::time_point::max());
-    forwarded_bytes_ += reader_.body().size();
-    owner_.on_response_piece(key_, std::exchange(reader_.body(), {}));
-}
-
-void HostConnection::announce_response() {
-    if (response_announced_ || is_health_check_ || !reader_.may_become_long()) return;
-    response_announced_ = true;
-    time_to_stream_start_ = elapsed_since(phase_started_at_, Steady::now());
-    const auto self = shared_from_this();
-    owner_.on_response_arriving(key_);
-}
-
-void HostConnection::begin_streaming(StreamReason reason) {
-    streaming_ = true;
-    delivery_deadline_ = Steady::time_point::max();
-    forwarded_bytes_ += reader_.body().size();
-    HostResult result;
-    result.outcome = HostOutcome::success;
-    result.elapsed = time_to_stream_start_;
-    result.stream_reason = reason;
-    result.answer.base() = reader_.header();
-    result.answer.body() = std::exchange(reader_.body(), {});
-    awaiting_resume_ = true;
-    // The exchange waits until the client has read the piece. The client's connection has its own timeout.
-    set_deadline(Steady::time_point::max());
-    const auto self = shared_from_this();
-    if (!owner_.on_response_begun(key_, host_->uid, std::move(result))) cancel();
-}
-
 void HostConnection::finish_with_response() {
     HostResult result;
     auto message = reader_.release();
@@ -407,7 +329,7 @@
     const auto self = shared_from_this();
     owner_.on_exchange_ended(self);
     const auto now = Steady::now();
-    result.elapsed = streaming_ ? time_to_stream_start_ : elapsed_since(phase_started_at_, now);
+    result.elapsed = streaming_ ? time_to_stream_start_ : elapsed_since_start(now);
     reader_.stop();
     if (reusable) become_idle(now);
     else
--- a/src/server/host_connection.h
+++ b/src/server/host_connection.h
@@ -141,6 +141,9 @@
     void connect();
     void on_connect_failed(boost::system::error_code failure);
 
+    [[nodiscard]] std::chrono::microseconds elapsed_since_start(Steady::time_point now) const {
+        return std::chrono::duration_cast<std::chrono::microseconds>(now - phase_started_at_);
+    }
     [[nodiscard]] Steady::time_point rested_at() const { return phase_started_at_ + min_idle_time_; }
     void on_rested();
     void set_deadline(Steady::time_point when);
--- a/tests/server/shutdown_test.cpp
+++ b/tests/server/shutdown_test.cpp
@@ -4,6 +4,14 @@
 namespace gateway::server::test {
 namespace {
 
+// Returns a handler that writes the header and the first half of a response with this body.
+Server::Handler writes_half_of(const std::string& body) {
+    return [body](Server::Peer& peer) {
+        peer.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+                  body.substr(0, body.size() / 2));
+    };
+}
+
 TEST_F(GatewayTest, AShutdownAnswersRequestsInFlight) {
     on_request = [](auto&) {};
     ASSERT_TRUE(becomes_ready());
@@ -121,10 +129,7 @@
 TEST_F(GatewayTest, AResponseThatIsBeingStreamedMayBeCompletedAfterTheLatestEnd) {
     deadline_ms = 100;
     const std::string piece(100'000, 'x');
-    on_request = [&](auto& peer) {
-        peer.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(2 * piece.size()) + "\r\n\r\n" +
-                  piece);
-    };
+    on_request = writes_half_of(piece + piece);
     ASSERT_TRUE(becomes_ready());
     Client client(io, address());
     client.send(request("a"));
@@ -141,16 +146,12 @@
     EXPECT_TRUE(run_until(io, [&] { return done; }));
 }
 
-// Regression: while a response was being completed after the latest end, the listener stayed open, and a
-// request on a new connection got an attempt and 504, although another process may listen on the address by
-// then.
+// Regression: while a response was being completed after the latest end, the listener stayed open and
+// requests were handled as usual, although another process may listen on the address by then.
 TEST_F(GatewayTest, NoConnectionIsAcceptedAndNoRequestForwardedAfterTheLatestEnd) {
     deadline_ms = 100;
     const std::string piece(100'000, 'x');
-    on_request = [&](auto& peer) {
-        peer.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(2 * piece.size()) + "\r\n\r\n" +
-                  piece);
-    };
+    on_request = writes_half_of(piece + piece);
     ASSERT_TRUE(becomes_ready());
     const tcp::endpoint listen = address();
     Client streaming(io, listen);
